--- /dev/null
+++ b/internal/connection/cloud/client.go
@@ -0,0 +1,90 @@
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+// Client is what the system needs of a cloud and its host list. HTTP makes one
+// for the platform's protocol.
+type Client struct {
+	// List gives the host list.
+	List func(ctx context.Context) ([]Host, error)
+	// Notices gives the notices numbered above after.
+	Notices func(ctx context.Context, after uint64) ([]Notice, error)
+	// Start asks for a host. On an error other than ErrRefused a host may
+	// have been started.
+	Start func(ctx context.Context, start Start) (Host, error)
+	// End gives a host back; it may be repeated.
+	End func(ctx context.Context, host identity.Host) error
+}
+
+// ErrRefused tells that the cloud had no such host to give; none was started.
+var ErrRefused = fmt.Errorf("cloud: refused")
+
+// HTTP makes a Client that speaks the platform's protocol.
+func HTTP(address netip.AddrPort, client *http.Client) Client {
+	h := httpCloud{base: "http://" + address.String(), client: client}
+	return Client{List: h.list, Notices: h.notices, Start: h.start, End: h.end}
+}
+
+type httpCloud struct {
+	base   string
+	client *http.Client
+}
+
+func (h httpCloud) list(ctx context.Context) ([]Host, error) {
+	var answer Hosts
+	err := h.do(ctx, http.MethodGet, HostsPath, nil, &answer)
+	return answer.Hosts, err
+}
+
+func (h httpCloud) notices(ctx context.Context, after uint64) ([]Notice, error) {
+	var answer Notices
+	err := h.do(ctx, http.MethodGet, NoticesPath+"?after="+strconv.FormatUint(after, 10), nil, &answer)
+	return answer.Notices, err
+}
+
+func (h httpCloud) start(ctx context.Context, start Start) (Host, error) {
+	var host Host
+	body, err := json.Marshal(start)
+	if err != nil {
+		return host, err
+	}
+	err = h.do(ctx, http.MethodPost, HostsPath, body, &host)
+	return host, err
+}
+
+func (h httpCloud) end(ctx context.Context, host identity.Host) error {
+	return h.do(ctx, http.MethodDelete, HostsPath+"/"+string(host), nil, nil)
+}
+
+// do makes one call and decodes its answer into out, if out is not nil.
+func (h httpCloud) do(ctx context.Context, method, path string, body []byte, out any) error {
+	request, err := http.NewRequestWithContext(ctx, method, h.base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.GetBody = nil
+	response, err := h.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	switch {
+	case response.StatusCode == http.StatusServiceUnavailable:
+		return ErrRefused
+	case response.StatusCode >= http.StatusMultipleChoices:
+		return fmt.Errorf("cloud: %s %s: status %d", method, path, response.StatusCode)
+	case out == nil:
+		return nil
+	}
+	return json.NewDecoder(response.Body).Decode(out)
+}
--- /dev/null
+++ b/internal/connection/engine/block.go
@@ -0,0 +1,64 @@
+package engine
+
+import (
+	"strings"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// BlockTokens is how many tokens one cached prefix block holds.
+const BlockTokens unit.Tokens = 32
+
+// CountTokens estimates how many tokens a text has: one a word.
+func CountTokens(text string) unit.Tokens {
+	count, inWord := unit.Tokens(0), false
+	for i := range len(text) {
+		space := text[i] == ' ' || text[i] == '\n' || text[i] == '\t'
+		if !space && !inWord {
+			count++
+		}
+		inWord = !space
+	}
+	return count
+}
+
+// Blocks hashes the prompt's whole blocks. Each hash covers the organisation
+// and all text up to the block's end, so that two prompts share a block only if
+// they share everything before it, and organisations share none.
+func Blocks(organisation identity.Organisation, prompt string) []Block {
+	hash := xxh3.HashString(string(organisation))
+	var blocks []Block
+	rest := prompt
+	for {
+		end := blockEnd(rest)
+		if end < 0 {
+			return blocks
+		}
+		hash = xxh3.HashStringSeed(rest[:end], hash)
+		blocks = append(blocks, Block(hash))
+		rest = rest[end:]
+	}
+}
+
+// blockEnd gives the index after the first BlockTokens words, or -1.
+func blockEnd(text string) int {
+	position := 0
+	for range BlockTokens {
+		for position < len(text) && text[position] == ' ' {
+			position++
+		}
+		if position == len(text) {
+			return -1
+		}
+		next := strings.IndexByte(text[position:], ' ')
+		if next < 0 {
+			position = len(text)
+			continue
+		}
+		position += next
+	}
+	return position
+}
--- /dev/null
+++ b/internal/connection/keyvalue/client.go
@@ -0,0 +1,136 @@
+package keyvalue
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Client is what the system needs of a key-value service. HTTP makes one for
+// the platform's protocol; another service's protocol fills the same fields.
+type Client struct {
+	// Get reads a key, or gives ErrAbsent.
+	Get func(ctx context.Context, key string) (Value, error)
+	// Put writes a key if its revision matches. ErrConflict comes with the
+	// present Value; ErrAmbiguous leaves open whether the write happened.
+	Put func(ctx context.Context, key string, put Put) (Value, error)
+	// Watch waits until the key's revision is above after. When the wait ends
+	// first, it gives a zero Value and no error.
+	Watch func(ctx context.Context, key string, after Revision, wait time.Duration) (Value, error)
+	// List gives the keys under a prefix without their data.
+	List func(ctx context.Context, prefix string) ([]Value, error)
+}
+
+// HTTP makes a Client that speaks the platform's protocol.
+func HTTP(address netip.AddrPort, client *http.Client) Client {
+	h := httpService{base: "http://" + address.String() + KeysPath, client: client}
+	return Client{Get: h.get, Put: h.put, Watch: h.watch, List: h.list}
+}
+
+type httpService struct {
+	base   string
+	client *http.Client
+}
+
+func (h httpService) get(ctx context.Context, key string) (Value, error) {
+	return h.read(ctx, h.base+"/"+key)
+}
+
+func (h httpService) watch(ctx context.Context, key string, after Revision, wait time.Duration) (Value, error) {
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(uint64(after), 10))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	return h.read(ctx, h.base+"/"+key+"?"+query.Encode())
+}
+
+func (h httpService) read(ctx context.Context, target string) (Value, error) {
+	var value Value
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return value, err
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return value, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+		err = json.NewDecoder(response.Body).Decode(&value)
+		return value, err
+	case http.StatusNotModified:
+		return value, nil
+	case http.StatusNotFound:
+		return value, ErrAbsent
+	default:
+		return value, fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
+	}
+}
+
+func (h httpService) list(ctx context.Context, prefix string) ([]Value, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+"?prefix="+url.QueryEscape(prefix), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
+	}
+	var values []Value
+	err = json.NewDecoder(response.Body).Decode(&values)
+	return values, err
+}
+
+// put sends the write on a connection that net/http cannot replay it on.
+func (h httpService) put(ctx context.Context, key string, put Put) (Value, error) {
+	var value Value
+	body, err := json.Marshal(put)
+	if err != nil {
+		return value, err
+	}
+	connected := new(atomic.Bool)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, h.base+"/"+key, bytes.NewReader(body))
+	if err != nil {
+		return value, err
+	}
+	request.GetBody = nil
+	response, err := h.client.Do(request)
+	if err != nil && connected.Load() {
+		return value, fmt.Errorf("%w: %w", ErrAmbiguous, err)
+	}
+	if err != nil {
+		return value, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusConflict:
+	case http.StatusServiceUnavailable:
+		return value, fmt.Errorf("%w: status 503", ErrUnavailable)
+	case http.StatusRequestEntityTooLarge, http.StatusBadRequest:
+		return value, fmt.Errorf("keyvalue: write refused: status %d", response.StatusCode)
+	default:
+		return value, fmt.Errorf("%w: status %d", ErrAmbiguous, response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(&value); err != nil {
+		return value, fmt.Errorf("%w: %w", ErrAmbiguous, err)
+	}
+	if response.StatusCode == http.StatusConflict {
+		return value, ErrConflict
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/process/command/command.go
@@ -0,0 +1,122 @@
+// Package command is the command line.
+package command
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/entry"
+	"github.com/dandelionlift/dandelionlift/internal/process/settings"
+	"github.com/dandelionlift/dandelionlift/internal/standin/deployment"
+)
+
+// Root builds the command line.
+func Root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "dandelionlift",
+		Short:         "Serve models and ledgers from hosts that can be taken back at any moment",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(entryCommand(), standinCommand(), askCommand(), checkCommand())
+	return root
+}
+
+func entryCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "entry",
+		Short: "Run an entry host",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runEntry(c.Context(), path)
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "settings file")
+	c.MarkFlagRequired("settings")
+	return c
+}
+
+func runEntry(ctx context.Context, path string) error {
+	s, bootstrap, err := settings.ReadEntry(path)
+	if err != nil {
+		return err
+	}
+	log := newLog(s.LogLevel).With("host", s.Host, "zone", s.Zone)
+	app := entry.App(entry.Given{Settings: s, Bootstrap: bootstrap, Log: log})
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	log.Info("started", "listen", s.Listen)
+	first, restore := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	<-first.Done()
+	hurry, release := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	restore()
+	defer release()
+	err = app.Stop(hurry)
+	log.Info("stopped", "hurried", hurry.Err() != nil)
+	return err
+}
+
+func standinCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Run stand-ins of the platform, model engines and ledgers",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runStandin(c.Context(), path)
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "settings file")
+	c.MarkFlagRequired("settings")
+	return c
+}
+
+func runStandin(ctx context.Context, path string) error {
+	var s deployment.Settings
+	if err := settings.Read(path, &s); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log := newLog("info")
+	d, err := deployment.Start(ctx, s, log)
+	if err != nil {
+		return err
+	}
+	log.Info("started", "endpoints", len(s.Endpoints))
+	return d.Wait()
+}
+
+func checkCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "check",
+		Short: "Check the settings file of an entry host",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, _, err := settings.ReadEntry(path)
+			if err == nil {
+				c.Println("ok")
+			}
+			return err
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "settings file")
+	c.MarkFlagRequired("settings")
+	return c
+}
+
+func newLog(level string) *slog.Logger {
+	var parsed slog.Level
+	if err := parsed.UnmarshalText([]byte(level)); err != nil {
+		parsed = slog.LevelInfo
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: parsed}))
+}
--- /dev/null
+++ b/internal/process/controller/controller.go
@@ -0,0 +1,228 @@
+// Package controller owns what an entry host knows of its deployment.
+//
+// # One owner
+//
+// Run is the only goroutine that touches the state. Everything else posts
+// events to it and reads the snapshots that it publishes.
+//
+// # Events
+//
+// An event is a small struct that says what was seen. Applying one twice, or
+// two in the other order, gives the same state.
+package controller
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+const queuedEvents = 1024
+
+// Event is something seen that may change the state.
+type Event interface {
+	apply(s *state)
+}
+
+// HostsSeen carries the host list.
+type HostsSeen struct {
+	At    time.Time
+	Hosts []cloud.Host
+}
+
+// LeavingSeen tells that an incarnation is leaving. An empty Incarnation means
+// the one that is known now.
+type LeavingSeen struct {
+	Host        identity.Host
+	Incarnation identity.Incarnation
+	Deadline    time.Time
+}
+
+// LoadSeen carries an endpoint's report of its load.
+type LoadSeen struct {
+	At     time.Time
+	Host   identity.Host
+	Report engine.LoadReport
+}
+
+// ConfigurationSeen carries a configuration from any source.
+type ConfigurationSeen struct {
+	Configuration configuration.Configuration
+}
+
+// Controller owns the state. Make one with New and call Run.
+type Controller struct {
+	events   chan Event
+	snapshot atomic.Pointer[fleet.Snapshot]
+	state    state
+}
+
+// state is touched by Run alone.
+type state struct {
+	host          identity.Host
+	zone          identity.Zone
+	configuration configuration.Configuration
+	endpoints     map[identity.Host]fleet.Endpoint
+	entryHosts    map[identity.Host]cloud.Host
+	// leaving never shrinks while an incarnation may still be seen.
+	leaving map[identity.Incarnation]time.Time
+}
+
+// New makes a Controller for an entry host in a zone.
+func New(host identity.Host, zone identity.Zone) *Controller {
+	c := &Controller{
+		events: make(chan Event, queuedEvents),
+		state: state{
+			host:       host,
+			zone:       zone,
+			endpoints:  make(map[identity.Host]fleet.Endpoint),
+			entryHosts: make(map[identity.Host]cloud.Host),
+			leaving:    make(map[identity.Incarnation]time.Time),
+		},
+	}
+	c.publish()
+	return c
+}
+
+// Snapshot gives the newest published state.
+func (c *Controller) Snapshot() *fleet.Snapshot {
+	return c.snapshot.Load()
+}
+
+// Post hands an event to Run; it gives up when ctx ends.
+func (c *Controller) Post(ctx context.Context, e Event) {
+	select {
+	case c.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// Run applies events until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	for {
+		select {
+		case e := <-c.events:
+			e.apply(&c.state)
+			c.drain()
+			c.publish()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// drain applies what is queued, so that a burst costs one snapshot.
+func (c *Controller) drain() {
+	for {
+		select {
+		case e := <-c.events:
+			e.apply(&c.state)
+		default:
+			return
+		}
+	}
+}
+
+func (c *Controller) publish() {
+	s := &c.state
+	endpoints := make([]fleet.Endpoint, 0, len(s.endpoints))
+	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+		endpoints = append(endpoints, s.endpoints[id])
+	}
+	c.snapshot.Store(fleet.New(s.host, s.zone, s.configuration, endpoints))
+}
+
+func (e HostsSeen) apply(s *state) {
+	listed := make(map[identity.Host]bool, len(e.Hosts))
+	for _, h := range e.Hosts {
+		listed[h.ID] = true
+		if h.Service == "" {
+			s.entryHosts[h.ID] = h
+			continue
+		}
+		s.see(e.At, h)
+	}
+	maps.DeleteFunc(s.endpoints, func(id identity.Host, _ fleet.Endpoint) bool { return !listed[id] })
+	maps.DeleteFunc(s.entryHosts, func(id identity.Host, _ cloud.Host) bool { return !listed[id] })
+}
+
+// see takes one endpoint of the host list into the state.
+func (s *state) see(at time.Time, h cloud.Host) {
+	known, ok := s.endpoints[h.ID]
+	if !ok || known.Incarnation != h.Incarnation {
+		known = fleet.Endpoint{Host: h.ID, Incarnation: h.Incarnation, Since: at}
+	}
+	known.Address = h.Address
+	known.Service = h.Service
+	known.Zone = h.Zone
+	known.Class = h.Class
+	known.Reclaimable = h.Reclaimable
+	known.ChecksFence = h.ChecksFence
+	if h.State == cloud.Leaving {
+		s.leave(h.Incarnation, time.Time{})
+	}
+	deadline, leaving := s.leaving[h.Incarnation]
+	known.Leaving = known.Leaving || leaving
+	if !deadline.IsZero() {
+		known.Deadline = deadline
+	}
+	s.endpoints[h.ID] = known
+}
+
+// leave remembers an incarnation, keeping the earliest deadline.
+func (s *state) leave(incarnation identity.Incarnation, deadline time.Time) {
+	known, ok := s.leaving[incarnation]
+	if !ok || known.IsZero() || (!deadline.IsZero() && deadline.Before(known)) {
+		s.leaving[incarnation] = deadline
+	}
+}
+
+func (e LeavingSeen) apply(s *state) {
+	known, ok := s.endpoints[e.Host]
+	incarnation := e.Incarnation
+	if incarnation == "" {
+		incarnation = known.Incarnation
+	}
+	if incarnation == "" {
+		return
+	}
+	s.leave(incarnation, e.Deadline)
+	if ok && known.Incarnation == incarnation {
+		known.Leaving = true
+		known.Deadline = s.leaving[incarnation]
+		s.endpoints[e.Host] = known
+	}
+}
+
+func (e LoadSeen) apply(s *state) {
+	known, ok := s.endpoints[e.Host]
+	if !ok || known.Incarnation != e.Report.Incarnation {
+		return
+	}
+	known.Load = fleet.Load{
+		At:            e.At,
+		Running:       e.Report.Running,
+		Waiting:       e.Report.Waiting,
+		WaitingTokens: e.Report.WaitingTokens,
+		CachedTokens:  e.Report.CachedTokens,
+		CacheCapacity: e.Report.CacheCapacity,
+	}
+	s.endpoints[e.Host] = known
+	if e.Report.Leaving {
+		LeavingSeen{Host: e.Host, Incarnation: e.Report.Incarnation}.apply(s)
+	}
+}
+
+func (e ConfigurationSeen) apply(s *state) {
+	if e.Configuration.Version > s.configuration.Version {
+		s.configuration = e.Configuration
+	}
+}
--- /dev/null
+++ b/internal/process/entry/app.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/process/controller"
+	"github.com/dandelionlift/dandelionlift/internal/process/journal"
+	"github.com/dandelionlift/dandelionlift/internal/process/meter"
+	"github.com/dandelionlift/dandelionlift/internal/process/operator"
+	"github.com/dandelionlift/dandelionlift/internal/process/settings"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+)
+
+const (
+	hostsEvery   = time.Second
+	noticesEvery = 500 * time.Millisecond
+	loadsEvery   = time.Second
+	// stopTimeout must outlast any answer; fx's own default would cut requests.
+	stopTimeout  = 30 * time.Minute
+	startTimeout = 30 * time.Second
+)
+
+// Given is what an entry host starts from.
+type Given struct {
+	Settings  settings.Entry
+	Bootstrap configuration.Configuration
+	Log       *slog.Logger
+}
+
+// App builds an entry host; start and stop it as any fx.App.
+func App(given Given) *fx.App {
+	return fx.New(
+		fx.Supply(given, given.Settings, given.Log),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(stopTimeout),
+		fx.StartTimeout(startTimeout),
+		fx.Provide(
+			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
+		),
+		fx.Invoke(runControl, runFront),
+	)
+}
+
+// life is the group of everything that runs, and the context that ends it.
+type life struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  *errgroup.Group
+}
+
+func newLife() life {
+	ctx, cancel := context.WithCancel(context.Background())
+	return life{ctx: ctx, cancel: cancel, group: new(errgroup.Group)}
+}
+
+// clients are the connections to the platform and endpoints.
+type clients struct {
+	fx.Out
+
+	Cloud    cloud.Client
+	KeyValue keyvalue.Client
+	Engine   engine.Client
+}
+
+func newClients(s settings.Entry) clients {
+	platform := &http.Client{Transport: &http.Transport{}}
+	endpoints := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}
+	return clients{
+		Cloud:    cloud.HTTP(s.Platform.Cloud, platform),
+		KeyValue: keyvalue.HTTP(s.Platform.KeyValue, platform),
+		Engine:   engine.Client{HTTP: endpoints},
+	}
+}
+
+func newController(s settings.Entry) *controller.Controller {
+	return controller.New(s.Host, s.Zone)
+}
+
+func newWatcher(c *controller.Controller, api cloud.Client, e engine.Client, log *slog.Logger) controller.Watcher {
+	return controller.Watcher{
+		Controller: c, Cloud: api, Engine: e, Log: log,
+		HostsEvery: hostsEvery, NoticesEvery: noticesEvery, LoadsEvery: loadsEvery,
+	}
+}
+
+func newJournal(kv keyvalue.Client, c *controller.Controller, log *slog.Logger) journal.Journal {
+	return journal.Journal{
+		KeyValue: kv,
+		Log:      log,
+		Adopt: func(ctx context.Context, seen configuration.Configuration) {
+			log.Info("configuration_seen", "version", seen.Version)
+			c.Post(ctx, controller.ConfigurationSeen{Configuration: seen})
+		},
+	}
+}
+
+func newServer(l life, s settings.Entry, c *controller.Controller, e engine.Client, m *meter.Meter, log *slog.Logger) *Server {
+	server := New(l.ctx, l.group, s, WithSnapshot(c.Snapshot), WithLog(log), WithMeter(m))
+	server.Engine = e
+	return server
+}
+
+func newOperator(s settings.Entry, c *controller.Controller, server *Server) operator.Operator {
+	return operator.Operator{Snapshot: c.Snapshot, Work: server.Work, Tokens: s.Operator.Tokens}
+}
+
+func newRouter(s *Server, o operator.Operator) *mux.Router {
+	router := mux.NewRouter()
+	s.Routes(router)
+	o.Routes(router)
+	return router
+}
+
+// runControl starts what learns about the deployment, and ends it last.
+func runControl(lc fx.Lifecycle, l life, given Given, c *controller.Controller, w controller.Watcher, j journal.Journal) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l.group.Go(func() error { return c.Run(l.ctx) })
+			l.group.Go(func() error { return w.Run(l.ctx) })
+			l.group.Go(func() error { return bootstrap(l.ctx, given, j) })
+			l.group.Go(func() error { return j.Run(l.ctx) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			l.cancel()
+			return l.group.Wait()
+		},
+	})
+}
+
+// bootstrap offers the settings' configuration until the service has one.
+func bootstrap(ctx context.Context, given Given, j journal.Journal) error {
+	if given.Settings.Bootstrap.Configuration == "" {
+		return nil
+	}
+	for ctx.Err() == nil {
+		err := j.Bootstrap(ctx, given.Bootstrap)
+		if err == nil {
+			return nil
+		}
+		given.Log.Warn("bootstrap_failed", "error", err)
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// runFront serves callers, and on stop drains before it closes.
+func runFront(lc fx.Lifecycle, l life, given Given, s *Server, router *mux.Router) {
+	front := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			return listen(l.group, front, given.Settings.Listen)
+		},
+		OnStop: func(ctx context.Context) error {
+			if err := s.Drain(ctx); err != nil {
+				return errors.Join(err, front.Close())
+			}
+			return front.Shutdown(ctx)
+		},
+	})
+}
+
+const readHeaderTimeout = 10 * time.Second
+
+// listen serves on an address until the server is closed.
+func listen(group *errgroup.Group, server *http.Server, address netip.AddrPort) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/process/entry/completion.go
@@ -0,0 +1,331 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/request/answer"
+	"github.com/dandelionlift/dandelionlift/internal/request/attempt"
+	"github.com/dandelionlift/dandelionlift/internal/request/call"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/route"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+const (
+	maxBodyBytes     = 4 << 20
+	defaultMaxTokens = 256
+	mostMaxTokens    = 32_768
+	mostAttempts     = 8
+)
+
+// completionBody is what callers send; chat callers send Messages.
+type completionBody struct {
+	Model     identity.Service `json:"model"`
+	Prompt    string           `json:"prompt"`
+	Messages  []message        `json:"messages"`
+	MaxTokens unit.Tokens      `json:"max_tokens"`
+	Stream    bool             `json:"stream"`
+	Batch     bool             `json:"batch"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// choice and chunk are the answer, whole or a piece of it.
+type choice struct {
+	Index        int      `json:"index"`
+	Text         string   `json:"text"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type chunk struct {
+	ID      identity.Request `json:"id"`
+	Object  string           `json:"object"`
+	Model   identity.Service `json:"model"`
+	Offset  unit.Tokens      `json:"offset"`
+	Choices []choice         `json:"choices"`
+	Usage   *engine.Usage    `json:"usage,omitempty"`
+}
+
+func (s *Server) completion(w http.ResponseWriter, r *http.Request) { s.model(w, r, false) }
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) { s.model(w, r, true) }
+
+// model takes a model call in and follows its answer.
+func (s *Server) model(w http.ResponseWriter, r *http.Request, chat bool) {
+	c, body, err := s.readModelCall(r, chat)
+	if err != nil {
+		s.refuse(w, "", err)
+		return
+	}
+	running, ok := s.requests.start(c)
+	if !ok {
+		s.refuse(w, string(c.Request), verdict.New(verdict.NotRun, verdict.HostFull, ""))
+		return
+	}
+	s.group.Go(func() error {
+		defer s.requests.end(c.Request)
+		s.assemble(s.ctx, running)
+		return nil
+	})
+	s.follow(w, r, running, chat, body.Stream)
+}
+
+// readModelCall checks everything that can be checked before anything runs.
+func (s *Server) readModelCall(r *http.Request, chat bool) (call.Call, completionBody, *verdict.Error) {
+	var body completionBody
+	organisation, failure := s.authorise(r)
+	if failure != nil {
+		return call.Call{}, body, failure
+	}
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil {
+		return call.Call{}, body, verdict.Wrap(verdict.NotRun, verdict.BadRequest, err)
+	}
+	service, ok := s.Snapshot().Configuration.Service(body.Model)
+	if !ok || service.Kind != configuration.Model {
+		return call.Call{}, body, verdict.New(verdict.NotRun, verdict.UnknownService, string(body.Model))
+	}
+	if chat {
+		body.Prompt = chatPrompt(body.Messages)
+	}
+	if body.MaxTokens == 0 {
+		body.MaxTokens = defaultMaxTokens
+	}
+	if body.Prompt == "" || body.MaxTokens < 0 || body.MaxTokens > mostMaxTokens {
+		return call.Call{}, body, verdict.New(verdict.NotRun, verdict.BadRequest, "prompt must not be empty, max_tokens must be 1 to 32768")
+	}
+	c := call.Call{
+		Request:      identity.NewRequest(),
+		Organisation: organisation,
+		Service:      body.Model,
+		Key:          r.Header.Get("Idempotency-Key"),
+		Priority:     engine.Interactive,
+		Prompt:       body.Prompt,
+		PromptTokens: engine.CountTokens(body.Prompt),
+		MaxTokens:    body.MaxTokens,
+		Blocks:       engine.Blocks(organisation, body.Prompt),
+		Repeatable:   true,
+	}
+	if body.Batch {
+		c.Priority = engine.Batch
+	}
+	return c, body, nil
+}
+
+func chatPrompt(messages []message) string {
+	var prompt strings.Builder
+	for _, m := range messages {
+		fmt.Fprintf(&prompt, "%s: %s\n", m.Role, m.Content)
+	}
+	return prompt.String()
+}
+
+// authorise finds the organisation of the bearer key.
+func (s *Server) authorise(r *http.Request) (identity.Organisation, *verdict.Error) {
+	c := s.Snapshot().Configuration
+	if c.Version == 0 {
+		failure := verdict.New(verdict.NotRun, verdict.NoConfiguration, "")
+		failure.RetryAfter = time.Second
+		return "", failure
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return "", verdict.New(verdict.NotRun, verdict.Unauthorised, "no bearer key")
+	}
+	sum := sha256.Sum256([]byte(key))
+	text := hex.EncodeToString(sum[:])
+	for _, o := range c.Organisations {
+		for _, known := range o.KeySHA256 {
+			if known == text {
+				return o.ID, nil
+			}
+		}
+	}
+	return "", verdict.New(verdict.NotRun, verdict.Unauthorised, "unknown bearer key")
+}
+
+// assemble makes attempts until the answer is whole or can't be.
+func (s *Server) assemble(ctx context.Context, w work) {
+	var tried []identity.Incarnation
+	failure := verdict.New(verdict.NotRun, verdict.NoEndpoint, "")
+	for range mostAttempts {
+		snapshot := s.Snapshot()
+		endpoint, ok := s.Choose(snapshot, route.Ask{Service: w.call.Service, Tried: tried})
+		if !ok {
+			break
+		}
+		tried = append(tried, endpoint.Incarnation)
+		err := s.try(ctx, w, endpoint)
+		if err == nil {
+			return
+		}
+		failure = verdict.Of(err)
+		s.Meter.Retried(failure.Reason)
+		s.Log.Info("attempt_failed", "request", w.call.Request, "endpoint", endpoint.Host,
+			"reason", failure.Reason, "offset", w.answer.Offset(), "error", err)
+	}
+	w.answer.Fail(failure)
+}
+
+// try makes one attempt and ends it early when the endpoint starts to leave.
+func (s *Server) try(ctx context.Context, w work, endpoint fleet.Endpoint) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var watch *time.Timer
+	watch = time.AfterFunc(time.Hour, func() {
+		now, ok := s.Snapshot().Find(endpoint.Host)
+		if ok && now.Incarnation == endpoint.Incarnation && now.Leaving {
+			cancel(verdict.New(verdict.MayHaveRun, verdict.EndpointLeaving, ""))
+			return
+		}
+		watch.Reset(leavingPoll)
+	})
+	watch.Reset(leavingPoll)
+	defer watch.Stop()
+	return attempt.Run(ctx, s.Engine, w.call, endpoint, w.answer, s.Silence)
+}
+
+const leavingPoll = 100 * time.Millisecond
+
+// again lets a caller that lost its connection fetch the whole answer.
+func (s *Server) again(w http.ResponseWriter, r *http.Request) {
+	organisation, failure := s.authorise(r)
+	if failure != nil {
+		s.refuse(w, "", failure)
+		return
+	}
+	id := identity.Request(mux.Vars(r)["id"])
+	found, ok := s.requests.find(id)
+	if !ok || found.call.Organisation != organisation {
+		s.refuse(w, string(id), verdict.New(verdict.MayHaveRun, verdict.UnknownRequest, ""))
+		return
+	}
+	s.follow(w, r, found, false, r.URL.Query().Get("stream") == "true")
+}
+
+// follow writes the answer as it grows, or whole at its end.
+func (s *Server) follow(w http.ResponseWriter, r *http.Request, running work, chat, stream bool) {
+	w.Header().Set(engine.RequestHeader, string(running.call.Request))
+	if stream {
+		s.followStream(w, r, running, chat)
+		return
+	}
+	for offset := unit.Tokens(0); ; {
+		piece, err := running.answer.Read(r.Context(), offset)
+		if err != nil {
+			return
+		}
+		offset += unit.Tokens(len(piece.Tokens))
+		if !piece.Done {
+			continue
+		}
+		if piece.Failure != nil {
+			s.refuse(w, string(running.call.Request), piece.Failure)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(whole(running, piece, chat))
+		return
+	}
+}
+
+func whole(running work, piece answer.Piece, chat bool) chunk {
+	stop := "stop"
+	c := choice{FinishReason: &stop}
+	if chat {
+		c.Message = &message{Role: "assistant", Content: running.answer.Text()}
+	} else {
+		c.Text = running.answer.Text()
+	}
+	return chunk{
+		ID: running.call.Request, Object: "text_completion", Model: running.call.Service,
+		Choices: []choice{c}, Usage: &piece.Usage,
+	}
+}
+
+func (s *Server) followStream(w http.ResponseWriter, r *http.Request, running work, chat bool) {
+	controller := http.NewResponseController(w)
+	started := false
+	for offset := unit.Tokens(0); ; {
+		piece, err := running.answer.Read(r.Context(), offset)
+		if err != nil {
+			return
+		}
+		if !started && piece.Failure != nil && len(piece.Tokens) == 0 {
+			s.refuse(w, string(running.call.Request), piece.Failure)
+			return
+		}
+		if !started {
+			w.Header().Set("Content-Type", "text/event-stream")
+			started = true
+		}
+		if len(piece.Tokens) > 0 {
+			writeEvent(w, streamed(running, piece, chat))
+			offset += unit.Tokens(len(piece.Tokens))
+		}
+		if piece.Done && piece.Failure != nil {
+			s.Meter.Refused(piece.Failure.Reason)
+			fmt.Fprint(w, "event: error\n")
+			writeEvent(w, newProblem(string(running.call.Request), piece.Failure))
+			return
+		}
+		if piece.Done {
+			stop := "stop"
+			writeEvent(w, chunk{
+				ID: running.call.Request, Object: "text_completion", Model: running.call.Service, Offset: offset,
+				Choices: []choice{{FinishReason: &stop}}, Usage: &piece.Usage,
+			})
+			fmt.Fprint(w, "data: [DONE]\n\n")
+			s.flush(controller)
+			return
+		}
+		if !s.flush(controller) {
+			return
+		}
+	}
+}
+
+func streamed(running work, piece answer.Piece, chat bool) chunk {
+	text := strings.Join(piece.Tokens, "")
+	c := choice{Text: text}
+	if chat {
+		c = choice{Delta: &message{Role: "assistant", Content: text}}
+	}
+	return chunk{
+		ID: running.call.Request, Object: "text_completion", Model: running.call.Service,
+		Offset: piece.Offset, Choices: []choice{c},
+	}
+}
+
+func writeEvent(w io.Writer, event any) {
+	data, err := json.Marshal(event)
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(w, "data: %s\n\n", data)
+}
+
+// flush sends what was written, or reports that the caller is gone.
+func (s *Server) flush(controller *http.ResponseController) bool {
+	err := controller.Flush()
+	return err == nil || errors.Is(err, http.ErrNotSupported)
+}
--- /dev/null
+++ b/internal/process/entry/requests.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/request/answer"
+	"github.com/dandelionlift/dandelionlift/internal/request/call"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+// work is one accepted request with its answer.
+type work struct {
+	call    call.Call
+	answer  *answer.Answer
+	started time.Time
+	// ended is zero while the answer is being assembled.
+	ended time.Time
+}
+
+// requests holds the work of one entry host by request id.
+type requests struct {
+	mu    sync.Mutex
+	works map[identity.Request]work
+	// running counts works that have not ended.
+	running int
+	limit   int
+	kept    time.Duration
+}
+
+func newRequests(limit int, kept time.Duration) *requests {
+	return &requests{works: make(map[identity.Request]work), limit: limit, kept: kept}
+}
+
+// start takes a call in, or reports false when the host is full.
+func (r *requests) start(c call.Call) (work, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(time.Now())
+	if len(r.works) >= r.limit {
+		return work{}, false
+	}
+	w := work{call: c, answer: answer.New(), started: time.Now()}
+	r.works[c.Request] = w
+	r.running++
+	return w, true
+}
+
+// end starts the time for which the answer is kept.
+func (r *requests) end(id identity.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w, ok := r.works[id]
+	if !ok || !w.ended.IsZero() {
+		return
+	}
+	w.ended = time.Now()
+	r.works[id] = w
+	r.running--
+}
+
+func (r *requests) find(id identity.Request) (work, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w, ok := r.works[id]
+	return w, ok
+}
+
+func (r *requests) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running
+}
+
+// forget drops answers that were kept long enough; mu is held.
+func (r *requests) forget(now time.Time) {
+	for id, w := range r.works {
+		if !w.ended.IsZero() && now.Sub(w.ended) > r.kept {
+			delete(r.works, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/entry/server.go
@@ -0,0 +1,211 @@
+// Package entry is the entry host: it stands between callers and endpoints.
+//
+// # A request's way
+//
+// A call is read and checked, admitted, and given a request id. One goroutine
+// then assembles its answer from attempts at endpoints, while the caller's
+// connection only follows that answer. A caller that lost its connection
+// follows it again from the start.
+//
+// # Stopping
+//
+// A planned stop says unready first, goes on taking requests for the
+// balancer's lag, and ends when all work has ended.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/process/meter"
+	"github.com/dandelionlift/dandelionlift/internal/process/settings"
+	"github.com/dandelionlift/dandelionlift/internal/request/attempt"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/route"
+)
+
+// Server serves callers. Make one with New.
+type Server struct {
+	// Snapshot gives the state that decisions are made on.
+	Snapshot func() *fleet.Snapshot
+	// Choose picks the endpoint of an attempt.
+	Choose func(*fleet.Snapshot, route.Ask) (fleet.Endpoint, bool)
+	Engine engine.Client
+	Meter  *meter.Meter
+	Log    *slog.Logger
+	// Silence bounds how long an attempt may go without progress.
+	Silence attempt.Silence
+
+	settings settings.Entry
+	requests *requests
+	group    *errgroup.Group
+	ctx      context.Context
+	stopping atomic.Bool
+}
+
+// New makes a server whose work runs in group until ctx ends.
+func New(ctx context.Context, group *errgroup.Group, s settings.Entry, options ...Option) *Server {
+	server := &Server{
+		Choose: func(f *fleet.Snapshot, ask route.Ask) (fleet.Endpoint, bool) {
+			return route.Choose(f, ask, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		},
+		Engine:   engine.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}},
+		Meter:    meter.New(),
+		Log:      slog.Default(),
+		Silence:  attempt.Silence{FirstToken: firstTokenSilence, Between: betweenSilence},
+		settings: s,
+		requests: newRequests(s.Limits.Requests, time.Duration(s.Limits.AnswerKept)),
+		group:    group,
+		ctx:      ctx,
+	}
+	for _, option := range options {
+		option(server)
+	}
+	return server
+}
+
+const (
+	idlePerEndpoint   = 64
+	firstTokenSilence = 10 * time.Second
+	betweenSilence    = 3 * time.Second
+)
+
+// Option changes a Server while it is made.
+type Option func(*Server)
+
+// WithSnapshot sets where the state comes from.
+func WithSnapshot(snapshot func() *fleet.Snapshot) Option {
+	return func(s *Server) { s.Snapshot = snapshot }
+}
+
+// WithLog sets the logger.
+func WithLog(log *slog.Logger) Option {
+	return func(s *Server) { s.Log = log }
+}
+
+// WithMeter sets the metrics.
+func WithMeter(m *meter.Meter) Option {
+	return func(s *Server) { s.Meter = m }
+}
+
+// Routes adds the callers' paths to router.
+func (s *Server) Routes(router *mux.Router) {
+	router.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", s.readyz).Methods(http.MethodGet)
+	router.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
+	router.HandleFunc("/v1/completions", s.completion).Methods(http.MethodPost)
+	router.HandleFunc("/v1/chat/completions", s.chat).Methods(http.MethodPost)
+	router.HandleFunc("/v1/requests/{id}", s.again).Methods(http.MethodGet)
+	router.PathPrefix("/v1/services/{service}/").HandlerFunc(s.plain)
+}
+
+// Running counts requests whose answers are being assembled.
+func (s *Server) Running() int { return s.requests.count() }
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// readyz says whether the balancer may send.
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if s.stopping.Load() || s.Snapshot().Configuration.Version == 0 {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	s.Meter.Write(w)
+}
+
+// Drain says unready, waits out the balancer's lag, and returns when all work
+// has ended or ctx has.
+func (s *Server) Drain(ctx context.Context) error {
+	s.stopping.Store(true)
+	s.Log.Info("stop_began", "running", s.Running())
+	lag := time.NewTimer(time.Duration(s.settings.Stop.BalancerLag))
+	defer lag.Stop()
+	select {
+	case <-lag.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.Running() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			s.Log.Warn("stop_cut", "running", s.Running())
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+const drainPoll = 20 * time.Millisecond
+
+// problem is an error answer after RFC 9457.
+type problem struct {
+	Type    string         `json:"type"`
+	Title   string         `json:"title"`
+	Status  int            `json:"status"`
+	Detail  string         `json:"detail,omitempty"`
+	Verdict string         `json:"verdict"`
+	Reason  verdict.Reason `json:"reason"`
+	Request string         `json:"request,omitempty"`
+}
+
+// refuse answers with a problem and counts its reason.
+func (s *Server) refuse(w http.ResponseWriter, request string, e *verdict.Error) {
+	s.Meter.Refused(e.Reason)
+	s.Log.Info("request_refused", "request", request, "reason", e.Reason, "verdict", e.Verdict, "detail", e.Error())
+	if e.RetryAfter > 0 {
+		seconds := int64((e.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status(e.Reason))
+	json.NewEncoder(w).Encode(newProblem(request, e))
+}
+
+func newProblem(request string, e *verdict.Error) problem {
+	return problem{
+		Type: "about:blank", Title: string(e.Reason), Status: status(e.Reason), Detail: e.Detail,
+		Verdict: e.Verdict.String(), Reason: e.Reason, Request: request,
+	}
+}
+
+// status maps a reason to the HTTP status that callers expect of it.
+func status(reason verdict.Reason) int {
+	switch reason {
+	case verdict.BadRequest:
+		return http.StatusBadRequest
+	case verdict.Unauthorised:
+		return http.StatusUnauthorized
+	case verdict.UnknownService, verdict.UnknownRequest:
+		return http.StatusNotFound
+	case verdict.OrganisationLimit:
+		return http.StatusTooManyRequests
+	case verdict.KeyReused, verdict.KeyExpired, verdict.DuplicateRunning:
+		return http.StatusConflict
+	case verdict.DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	case verdict.EndpointLost, verdict.EndpointSilent, verdict.AnswerGap, verdict.AnswerMismatch:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/request/call/call.go
@@ -0,0 +1,39 @@
+// Package call holds one accepted call: who makes it, to which service, and
+// what may be done with it.
+package call
+
+import (
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// Call is one request by a caller. It is not changed after it was accepted.
+type Call struct {
+	Request      identity.Request
+	Organisation identity.Organisation
+	Service      identity.Service
+	// Key is the caller's Idempotency-Key, or empty.
+	Key string
+	// Deadline is when the caller stops waiting; zero means never.
+	Deadline time.Time
+	Priority engine.Priority
+
+	// Prompt, MaxTokens and Blocks are set for calls to a model.
+	Prompt    string
+	MaxTokens unit.Tokens
+	// PromptTokens is CountTokens of Prompt; Blocks are its prefix blocks.
+	PromptTokens unit.Tokens
+	Blocks       []engine.Block
+
+	// Method, Path, Query, ContentType and Body are set for plain services.
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        []byte
+	// Repeatable is false for a call that may run at most once.
+	Repeatable bool
+}
--- /dev/null
+++ b/internal/standin/engine/control.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	wire "github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// load answers with the newest report that is older than the lag.
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	now := time.Now()
+	fresh := timedReport{at: now, report: e.report()}
+	e.reports = append(e.reports, fresh)
+	cutoff := now.Add(-e.Speed.ReportLag)
+	first := 0
+	for first+1 < len(e.reports) && !e.reports[first+1].at.After(cutoff) {
+		first++
+	}
+	e.reports = e.reports[first:]
+	report := e.reports[0].report
+	report.Leaving = e.leaving
+	e.mu.Unlock()
+	reply(w, report)
+}
+
+// report describes the engine now; mu is held.
+func (e *Engine) report() wire.LoadReport {
+	var tokens unit.Tokens
+	for _, t := range e.waiting {
+		tokens += t.tokens
+	}
+	return wire.LoadReport{
+		Incarnation:   e.Incarnation,
+		Running:       e.running,
+		Waiting:       len(e.waiting),
+		WaitingTokens: tokens,
+		CachedTokens:  e.cache.size(),
+		CacheCapacity: e.Speed.CacheTokens,
+		Model:         e.order.Model,
+		ModelVersion:  e.order.ModelVersion,
+		Adapter:       e.order.Adapter,
+		Role:          e.order.Role,
+	}
+}
+
+func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	answer := wire.CacheEvents{Incarnation: e.Incarnation, Events: []wire.CacheEvent{}}
+	e.mu.Lock()
+	for _, event := range e.cache.events {
+		if event.Sequence > after {
+			answer.Events = append(answer.Events, event)
+		}
+	}
+	e.mu.Unlock()
+	reply(w, answer)
+}
+
+func (e *Engine) entries(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	answer := wire.Entries{Incarnation: e.Incarnation, Entries: e.cache.entries()}
+	e.mu.Unlock()
+	reply(w, answer)
+}
+
+// importEntry stores an entry that another engine exported. The bytes
+// themselves are not carried: the body is the Entry.
+func (e *Engine) importEntry(w http.ResponseWriter, r *http.Request) {
+	var entry wire.Entry
+	if err := json.NewDecoder(r.Body).Decode(&entry); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if entry.ID != mux.Vars(r)["id"] || blockID(entry.Block) != entry.ID {
+		http.Error(w, "entry does not match its id", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.cache.store(entry.Organisation, []wire.Block{entry.Block})
+	e.mu.Unlock()
+}
+
+func (e *Engine) obey(w http.ResponseWriter, r *http.Request) {
+	var order wire.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if order.Incarnation != e.Incarnation {
+		http.Error(w, "another incarnation", http.StatusMisdirectedRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ChecksFence && order.Fence < e.order.Fence {
+		http.Error(w, "old fence", http.StatusConflict)
+		return
+	}
+	e.order = order
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/version/configuration/configuration.go
@@ -0,0 +1,186 @@
+// Package configuration holds what operators declare: services, the places
+// they may live, organisations, prices, and the latency each service must meet.
+//
+// # Versions
+//
+// A Configuration is an immutable value with a version. Hosts only ever move to
+// a higher version. To change one, copy it with Clone, alter the copy, and
+// offer it under the next version.
+package configuration
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// Configuration is one accepted version. Slices are sorted by id and are never
+// changed once the value is shared.
+type Configuration struct {
+	// Version is zero only in a value that was never accepted.
+	Version       identity.Version `toml:"-" json:"version"`
+	Zones         []Zone           `toml:"zone" json:"zones"`
+	Services      []Service        `toml:"service" json:"services"`
+	Organisations []Organisation   `toml:"organisation" json:"organisations"`
+	Prices        []Price          `toml:"price" json:"prices"`
+	Links         []Link           `toml:"link" json:"links"`
+}
+
+// Zone places an availability zone in its region.
+type Zone struct {
+	ID     identity.Zone   `toml:"id" json:"id"`
+	Region identity.Region `toml:"region" json:"region"`
+}
+
+// Kind tells how a service is spoken to.
+type Kind string
+
+// The kinds of service.
+const (
+	Model Kind = "model"
+	Plain Kind = "plain"
+)
+
+// Service is a model or plain service with its targets.
+type Service struct {
+	ID   identity.Service `toml:"id" json:"id"`
+	Kind Kind             `toml:"kind" json:"kind"`
+	// FirstToken and BetweenTokens are the latency that 95 in 100 must meet.
+	FirstToken    Duration `toml:"first_token" json:"first_token"`
+	BetweenTokens Duration `toml:"between_tokens" json:"between_tokens"`
+	// CostWeight and RecomputeWeight turn money and recomputed tokens into
+	// milliseconds of waiting that would be accepted to avoid them.
+	CostWeight      float64 `toml:"cost_weight_ms_per_coin" json:"cost_weight_ms_per_coin"`
+	RecomputeWeight float64 `toml:"recompute_weight_ms_per_token" json:"recompute_weight_ms_per_token"`
+	// RetryShare is the share of successes that may be spent on retries, 0 to 1.
+	RetryShare float64 `toml:"retry_share" json:"retry_share"`
+	// Calls lists the calls of a plain service that may be repeated. A call
+	// that no rule names may not be repeated.
+	Calls []CallRule `toml:"call" json:"calls"`
+	// Adapter and ModelVersion name what endpoints should have loaded.
+	ModelVersion string `toml:"model_version" json:"model_version"`
+	Adapter      string `toml:"adapter" json:"adapter"`
+}
+
+// CallRule declares whether calls of a method under a path prefix may be repeated.
+type CallRule struct {
+	Method     string `toml:"method" json:"method"`
+	PathPrefix string `toml:"path_prefix" json:"path_prefix"`
+	Repeatable bool   `toml:"repeatable" json:"repeatable"`
+}
+
+// Organisation is a party with limits and callers' keys.
+type Organisation struct {
+	ID identity.Organisation `toml:"id" json:"id"`
+	// KeySHA256 lists the hex SHA-256 of each bearer key.
+	KeySHA256 []string `toml:"key_sha256" json:"key_sha256"`
+	// Weight is the organisation's share under contention, above 0.
+	Weight float64 `toml:"weight" json:"weight"`
+	// TokensPerSecond bounds prompt and generated tokens over all entry
+	// hosts; zero means unbounded.
+	TokensPerSecond unit.Tokens `toml:"tokens_per_second" json:"tokens_per_second"`
+}
+
+// Price is what a host of a class costs in a zone.
+type Price struct {
+	Zone  identity.Zone  `toml:"zone" json:"zone"`
+	Class identity.Class `toml:"class" json:"class"`
+	// Reclaimable and OnDemand are in millionths of the currency an hour.
+	Reclaimable unit.Money `toml:"reclaimable_micro_per_hour" json:"reclaimable_micro_per_hour"`
+	OnDemand    unit.Money `toml:"on_demand_micro_per_hour" json:"on_demand_micro_per_hour"`
+}
+
+// Link is the connection between two regions, the same both ways.
+type Link struct {
+	From identity.Region `toml:"from" json:"from"`
+	To   identity.Region `toml:"to" json:"to"`
+	// PerGigabyte is in millionths of the currency.
+	PerGigabyte unit.Money `toml:"micro_per_gigabyte" json:"micro_per_gigabyte"`
+	Latency     Duration   `toml:"one_way_latency" json:"one_way_latency"`
+}
+
+// Duration is a time.Duration written with its unit, as in "1300ms".
+type Duration time.Duration
+
+// MarshalText renders d with its unit.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads a duration with its unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Clone copies c so that the copy can be altered.
+func (c Configuration) Clone() Configuration {
+	c.Zones = slices.Clone(c.Zones)
+	c.Services = slices.Clone(c.Services)
+	for i := range c.Services {
+		c.Services[i].Calls = slices.Clone(c.Services[i].Calls)
+	}
+	c.Organisations = slices.Clone(c.Organisations)
+	for i := range c.Organisations {
+		c.Organisations[i].KeySHA256 = slices.Clone(c.Organisations[i].KeySHA256)
+	}
+	c.Prices = slices.Clone(c.Prices)
+	c.Links = slices.Clone(c.Links)
+	return c
+}
+
+// Service finds a service by id.
+func (c Configuration) Service(id identity.Service) (Service, bool) {
+	for _, s := range c.Services {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Organisation finds an organisation by id.
+func (c Configuration) Organisation(id identity.Organisation) (Organisation, bool) {
+	for _, o := range c.Organisations {
+		if o.ID == id {
+			return o, true
+		}
+	}
+	return Organisation{}, false
+}
+
+// Region gives the region of a zone, or "" for an unknown zone.
+func (c Configuration) Region(zone identity.Zone) identity.Region {
+	for _, z := range c.Zones {
+		if z.ID == zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
+// Price finds what a class costs in a zone.
+func (c Configuration) Price(zone identity.Zone, class identity.Class) (Price, bool) {
+	for _, p := range c.Prices {
+		if p.Zone == zone && p.Class == class {
+			return p, true
+		}
+	}
+	return Price{}, false
+}
+
+// Link finds the link between two regions; within one region it is free.
+func (c Configuration) Link(a, b identity.Region) Link {
+	for _, l := range c.Links {
+		if (l.From == a && l.To == b) || (l.From == b && l.To == a) {
+			return l
+		}
+	}
+	return Link{From: a, To: b}
+}
