connection/engine: send a call at most once, whatever net/http would do

Cause: a call without a body kept NoBody, which net/http counts as replayable once the method is GET or an Idempotency-Key is there; so on a kept-alive connection that the endpoint closed after reading, calls that may not be repeated were sent twice. Redirects were followed, an answer without a length could be cut unseen, and a refusal of the last attempt made the whole request NotRun although an earlier attempt may have run.

Ruled out: clearing GetBody alone (what was there).

Change: calls that may not be repeated use a connection of their own, every body is of a kind net/http can't rewind, redirects are handed on, an answer of unknown length is lost, a refusal counts only when it names the request, and verdicts of several attempts join. The Idempotency-Key travels on to the endpoint.

TestVerdictReplayTrap shows the raw endpoint catching a naive client: 2 runs.

--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -9,20 +9,24 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
-	"sync/atomic"
 
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-// maxEventBytes bounds one server-sent event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one server-sent event.
+	maxEventBytes  = 1 << 20
+	maxDetailBytes = 512
+)
 
-// Client calls engines. Its HTTP client must not follow redirects nor time out
-// as a whole, since answers are streams.
+// Client calls engines and plain services. Make one with New: its HTTP clients
+// must not follow redirects nor time out as a whole, since answers are streams.
 type Client struct {
-	HTTP *http.Client
+	// HTTP keeps connections alive; Fresh opens one for each request.
+	HTTP  *http.Client
+	Fresh *http.Client
 }
 
 // Stream is an answer being read. Close it in any case.
@@ -38,25 +42,21 @@
 	if err != nil {
 		return nil, verdict.Wrap(verdict.NotRun, verdict.BadRequest, err)
 	}
-	response, err := c.post(ctx, address, CompletionsPath, body)
+	response, err := post(ctx, c.HTTP, address, CompletionsPath, ask.Request, body)
 	if err != nil {
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
 		defer response.Body.Close()
-		return nil, refusal(response)
+		return nil, refusal(response, ask.Request)
 	}
 	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(nil, maxEventBytes)
 	return &Stream{body: response.Body, scanner: scanner}, nil
 }
 
-// post sends one request that net/http cannot replay: it has no GetBody.
-func (c Client) post(ctx context.Context, address netip.AddrPort, path string, body []byte) (*http.Response, error) {
-	connected := new(atomic.Bool)
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+// post sends one request that net/http cannot send again.
+func post(ctx context.Context, client *http.Client, address netip.AddrPort, path string, id identity.Request, body []byte) (*http.Response, error) {
 	url := "http://" + address.String() + path
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
@@ -64,20 +64,16 @@
 	}
 	request.ContentLength = int64(len(body))
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.HTTP.Do(request)
-	if err == nil {
-		return response, nil
-	}
-	if connected.Load() {
-		return nil, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointLost, err)
-	}
-	return nil, verdict.Wrap(verdict.NotRun, verdict.EndpointUnreachable, err)
+	request.Header.Set(RequestHeader, string(id))
+	return once(client, request)
 }
 
-func refusal(response *http.Response) *verdict.Error {
-	detail, _ := io.ReadAll(io.LimitReader(response.Body, 512))
+// refusal is NotRun only if the endpoint says so of this very request.
+func refusal(response *http.Response, id identity.Request) *verdict.Error {
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxDetailBytes))
 	text := fmt.Sprintf("status %d: %s", response.StatusCode, bytes.TrimSpace(detail))
-	if response.Header.Get(RefusedHeader) == verdict.NotRun.String() {
+	said := response.Header.Get(RefusedHeader) == verdict.NotRun.String()
+	if said && response.Header.Get(RequestHeader) == string(id) {
 		return verdict.New(verdict.NotRun, verdict.EndpointRefused, text)
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.EndpointLost, text)
@@ -117,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := c.post(ctx, address, CancelPath, body)
+	response, err := post(ctx, c.HTTP, address, CancelPath, ask.Request, body)
 	if err != nil {
 		return err
 	}
--- a/internal/connection/engine/message.go
+++ b/internal/connection/engine/message.go
@@ -10,8 +10,9 @@
 //
 // # Refusals
 //
-// An engine that refuses before running sets RefusedHeader to "not_run". Any
-// other failure leaves open whether the request ran.
+// An engine that refuses before running sets RefusedHeader to "not_run" and
+// RequestHeader to the request that it refuses. Any other failure leaves open
+// whether the request ran.
 //
 // # Orders
 //
--- /dev/null
+++ b/internal/connection/engine/verdict_test.go
@@ -0,0 +1,241 @@
+package engine_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+)
+
+// reaction is what the raw endpoint does with a connection.
+type reaction string
+
+const (
+	refuses      reaction = "refuses the connection"
+	closes       reaction = "accepts and closes"
+	readsCloses  reaction = "reads and closes"
+	runsCloses   reaction = "reads, runs and closes"
+	answersHalf  reaction = "answers half"
+	answersLate  reaction = "answers after the deadline"
+	neverAnswers reaction = "never answers"
+	endless      reaction = "answers without a length and closes"
+	answers      reaction = "answers"
+)
+
+// rawEndpoint speaks HTTP by hand, so that it can stop anywhere.
+type rawEndpoint struct {
+	listener net.Listener
+	// read is called when a whole request has arrived.
+	read func()
+
+	mu       sync.Mutex
+	reaction reaction
+	requests int
+	runs     int
+	group    sync.WaitGroup
+}
+
+func newRawEndpoint(c *qt.C, first reaction) *rawEndpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	e := &rawEndpoint{listener: listener, reaction: first, read: func() {}}
+	e.group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			e.group.Go(func() { e.serve(conn) })
+		}
+	})
+	return e
+}
+
+func (e *rawEndpoint) address() netip.AddrPort {
+	return netip.MustParseAddrPort(e.listener.Addr().String())
+}
+
+func (e *rawEndpoint) set(r reaction) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reaction, e.requests, e.runs = r, 0, 0
+	if r == refuses {
+		e.listener.Close()
+	}
+}
+
+func (e *rawEndpoint) counts() (requests, runs int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests, e.runs
+}
+
+// take counts one request read and tells what to do with it.
+func (e *rawEndpoint) take() reaction {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests++
+	if e.reaction != readsCloses {
+		e.runs++
+	}
+	return e.reaction
+}
+
+func (e *rawEndpoint) serve(conn net.Conn) {
+	defer conn.Close()
+	e.mu.Lock()
+	now := e.reaction
+	e.mu.Unlock()
+	if now == closes {
+		return
+	}
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, request.Body)
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: inc\r\n", engine.RequestHeader,
+			request.Header.Get(engine.RequestHeader), engine.IncarnationHeader)
+		switch e.take() {
+		case answers:
+			fmt.Fprintf(conn, "%sContent-Length: 2\r\n\r\nok", head)
+		case answersHalf:
+			fmt.Fprintf(conn, "%sContent-Length: 20\r\n\r\nhalf", head)
+			return
+		case endless:
+			fmt.Fprintf(conn, "%s\r\nhalf", head)
+			return
+		case answersLate:
+			e.read()
+			io.Copy(io.Discard, reader)
+			fmt.Fprintf(conn, "%sContent-Length: 2\r\n\r\nok", head)
+			return
+		case neverAnswers:
+			e.read()
+			io.Copy(io.Discard, reader)
+			return
+		default:
+			return
+		}
+	}
+}
+
+// TestVerdictOfEachFault makes one call for each fault on fresh and kept-alive
+// connections, with and without a key: it must reach the endpoint at most once,
+// and NotRun must only be said where nothing was read.
+func TestVerdictOfEachFault(t *testing.T) {
+	for _, fault := range []reaction{refuses, closes, readsCloses, runsCloses, answersHalf, answersLate, neverAnswers, endless} {
+		for _, kept := range []bool{false, true} {
+			for _, key := range []string{"", "key"} {
+				for _, plain := range []engine.Plain{
+					{Method: http.MethodPost, Body: []byte("filing")}, {Method: http.MethodPost}, {Method: http.MethodGet},
+				} {
+					for _, repeatable := range []bool{false, true} {
+						plain.Key, plain.Repeatable = key, repeatable
+						t.Run(fmt.Sprintf("%s/kept=%v/key=%s/%s-%d/repeatable=%v", fault, kept, key, plain.Method, len(plain.Body), repeatable), func(t *testing.T) {
+							verdictOf(qt.New(t), plain, fault, kept)
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+func verdictOf(c *qt.C, plain engine.Plain, fault reaction, kept bool) {
+	e := newRawEndpoint(c, answers)
+	client := engine.New(nil)
+	defer e.group.Wait()
+	defer e.listener.Close()
+	defer client.HTTP.CloseIdleConnections()
+	plain.Target, plain.Incarnation, plain.Request = "/filings/1", "inc", "first"
+	if kept {
+		warm := plain
+		warm.Repeatable = true
+		_, err := client.Forward(c.Context(), e.address(), warm)
+		c.Assert(err, qt.IsNil)
+	}
+	ctx, cancel := context.WithCancel(c.Context())
+	defer cancel()
+	e.read = cancel
+	e.set(fault)
+	if fault == refuses {
+		client.HTTP.CloseIdleConnections()
+	}
+	plain.Request = "second"
+	_, err := client.Forward(ctx, e.address(), plain)
+	var failure *verdict.Error
+	c.Assert(errors.As(err, &failure), qt.IsTrue)
+	requests, _ := e.counts()
+	c.Assert(requests <= 1, qt.IsTrue, qt.Commentf("sent %d times", requests))
+	want := verdict.MayHaveRun
+	if fault == refuses {
+		want = verdict.NotRun
+	}
+	c.Assert(failure.Verdict, qt.Equals, want, qt.Commentf("%v", failure))
+}
+
+// TestVerdictReplayTrap shows that the endpoint above does catch net/http
+// sending a request twice, with a client that takes no care.
+func TestVerdictReplayTrap(t *testing.T) {
+	c := qt.New(t)
+	e := newRawEndpoint(c, answers)
+	transport := &http.Transport{}
+	defer e.group.Wait()
+	defer e.listener.Close()
+	defer transport.CloseIdleConnections()
+	post := func() error {
+		request, err := http.NewRequest(http.MethodPost, "http://"+e.address().String()+"/filings/1", bytes.NewReader([]byte("filing")))
+		c.Assert(err, qt.IsNil)
+		request.Header.Set("Idempotency-Key", "key")
+		response, err := transport.RoundTrip(request)
+		if err != nil {
+			return err
+		}
+		io.Copy(io.Discard, response.Body)
+		return response.Body.Close()
+	}
+	c.Assert(post(), qt.IsNil)
+	e.set(runsCloses)
+	c.Assert(post(), qt.IsNotNil)
+	_, runs := e.counts()
+	c.Assert(runs, qt.Equals, 2)
+}
+
+// TestVerdictOfRedirect checks that a redirect is handed on, not followed.
+func TestVerdictOfRedirect(t *testing.T) {
+	c := qt.New(t)
+	requests := 0
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests++
+		w.Header().Set(engine.RequestHeader, r.Header.Get(engine.RequestHeader))
+		w.Header().Set(engine.IncarnationHeader, "inc")
+		http.Redirect(w, r, "/elsewhere", http.StatusFound)
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var group sync.WaitGroup
+	group.Go(func() { server.Serve(listener) })
+	defer group.Wait()
+	defer server.Close()
+	answer, err := engine.New(nil).Forward(c.Context(), netip.MustParseAddrPort(listener.Addr().String()), engine.Plain{
+		Method: http.MethodPost, Target: "/filings/1", Request: "r", Incarnation: "inc", Body: []byte("x"),
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Status, qt.Equals, http.StatusFound)
+	c.Assert(requests, qt.Equals, 1)
+}
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -79,11 +79,10 @@
 
 func newClients(s settings.Entry) clients {
 	platform := &http.Client{Transport: &http.Transport{}}
-	endpoints := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}
 	return clients{
 		Cloud:    cloud.HTTP(s.Platform.Cloud, platform),
 		KeyValue: keyvalue.HTTP(s.Platform.KeyValue, platform),
-		Engine:   engine.Client{HTTP: endpoints},
+		Engine:   engine.New(nil),
 	}
 }
 
--- a/internal/process/entry/completion.go
+++ b/internal/process/entry/completion.go
@@ -178,7 +178,7 @@
 		if err == nil {
 			return
 		}
-		failure = verdict.Of(err)
+		failure = verdict.Of(err).After(failure.Verdict)
 		s.Meter.Retried(failure.Reason)
 		s.Log.Info("attempt_failed", "request", w.call.Request, "endpoint", endpoint.Host,
 			"reason", failure.Reason, "offset", w.answer.Offset(), "error", err)
--- a/internal/process/entry/plain.go
+++ b/internal/process/entry/plain.go
@@ -1,10 +1,11 @@
 package entry
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -35,9 +36,9 @@
 		s.refuse(w, string(c.Request), failure)
 		return
 	}
-	w.Header().Set("Content-Type", answered.contentType)
-	w.WriteHeader(answered.status)
-	w.Write(answered.body)
+	w.Header().Set("Content-Type", answered.ContentType)
+	w.WriteHeader(answered.Status)
+	w.Write(answered.Body)
 }
 
 func (s *Server) readPlainCall(r *http.Request) (call.Call, *verdict.Error) {
@@ -69,50 +70,50 @@
 	}, nil
 }
 
-// plainAnswer is a plain service's whole answer.
-type plainAnswer struct {
-	status      int
-	contentType string
-	body        []byte
-}
-
 // dispatch tries endpoints; after MayHaveRun only a repeatable call goes on.
-func (s *Server) dispatch(ctx context.Context, c call.Call) (plainAnswer, *verdict.Error) {
+func (s *Server) dispatch(ctx context.Context, c call.Call) (engine.PlainAnswer, *verdict.Error) {
 	var tried []identity.Incarnation
 	failure := verdict.New(verdict.NotRun, verdict.NoEndpoint, "")
 	for range mostAttempts {
 		endpoint, ok := s.Choose(s.Snapshot(), route.Ask{Service: c.Service, Tried: tried})
 		if !ok {
-			return plainAnswer{}, failure
+			return engine.PlainAnswer{}, failure
 		}
 		tried = append(tried, endpoint.Incarnation)
-		answered, err := s.forward(ctx, c, endpoint.Address.String(), endpoint.Incarnation)
+		answered, err := s.Engine.Forward(ctx, endpoint.Address, plainOf(c, endpoint.Incarnation))
 		if err == nil {
 			return answered, nil
 		}
-		failure = verdict.Of(err)
+		failure = ended(ctx, verdict.Of(err)).After(failure.Verdict)
 		if failure.Verdict != verdict.NotRun && !c.Repeatable {
-			return plainAnswer{}, failure
+			return engine.PlainAnswer{}, failure
+		}
+		if ctx.Err() != nil {
+			return engine.PlainAnswer{}, failure
 		}
 		s.Meter.Retried(failure.Reason)
 	}
-	return plainAnswer{}, failure
+	return engine.PlainAnswer{}, failure
 }
 
-// forward makes one attempt at a plain service.
-func (s *Server) forward(ctx context.Context, c call.Call, address string, incarnation identity.Incarnation) (plainAnswer, error) {
-	target := "http://" + address + c.Path
-	if c.Query != "" {
-		target += "?" + c.Query
-	}
-	response, err := s.Engine.Forward(ctx, c.Method, target, c.ContentType, c.Request, incarnation, bytes.NewReader(c.Body))
-	if err != nil {
-		return plainAnswer{}, err
+// ended names the deadline as the reason of an attempt that it ended.
+func ended(ctx context.Context, failure *verdict.Error) *verdict.Error {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return plainAnswer{}, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointLost, err)
+	return verdict.Wrap(failure.Verdict, verdict.DeadlineExceeded, failure)
+}
+
+func plainOf(c call.Call, incarnation identity.Incarnation) engine.Plain {
+	target := url.URL{Path: c.Path, RawQuery: c.Query}
+	return engine.Plain{
+		Method:      c.Method,
+		Target:      target.String(),
+		ContentType: c.ContentType,
+		Key:         c.Key,
+		Request:     c.Request,
+		Incarnation: incarnation,
+		Body:        c.Body,
+		Repeatable:  c.Repeatable,
 	}
-	return plainAnswer{status: response.StatusCode, contentType: response.Header.Get("Content-Type"), body: body}, nil
 }
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -60,7 +60,7 @@
 		Choose: func(f *fleet.Snapshot, ask route.Ask) (fleet.Endpoint, bool) {
 			return route.Choose(f, ask, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		},
-		Engine:   engine.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}},
+		Engine:   engine.New(nil),
 		Meter:    meter.New(),
 		Log:      slog.Default(),
 		Silence:  attempt.Silence{FirstToken: firstTokenSilence, Between: betweenSilence},
@@ -76,7 +76,6 @@
 }
 
 const (
-	idlePerEndpoint   = 64
 	firstTokenSilence = 10 * time.Second
 	betweenSilence    = 3 * time.Second
 )
--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -140,6 +140,17 @@
 // Unwrap gives the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// After gives e as the outcome of a request whose earlier attempts ended with
+// before: what may have run once is not NotRun because a later attempt was.
+func (e *Error) After(before Verdict) *Error {
+	if e.Verdict != NotRun || before == NotRun {
+		return e
+	}
+	joined := *e
+	joined.Verdict = before
+	return &joined
+}
+
 // Of finds the Error in err's chain; any other error is MayHaveRun and
 // EndpointLost, the cautious reading. A nil err gives nil.
 func Of(err error) *Error {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -142,6 +142,7 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.RequestHeader, r.Header.Get(wire.RequestHeader))
 	var ask wire.Completion
 	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
 		refuse(w, http.StatusBadRequest, "bad json")
