process/demo: run a deployment in one process and count what callers saw

Cause: a new user had nothing to start; and the promises had no counter that was not the system's own claim. Ruled out: counting from the entry hosts' metrics (they would agree with themselves); a separate checker process (a process starts no other). Change: demo and load commands, the callers' client that goes on under its request id, both users' sizes as a scenario, and a bill from hosts' lifetimes. Seen to fail: a client that took any end for whole failed TestCompleteSeesAnAnswerThatIsTooShort; without trimming it fails the reattachment test.

--- /dev/null
+++ b/internal/connection/caller/caller_test.go
@@ -0,0 +1,74 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/caller"
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+)
+
+// serve answers the n-th request with the n-th text; a text without [DONE]
+// ends with a cut connection.
+func serve(t *testing.T, paths *[]string, texts ...string) caller.Client {
+	var n atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		*paths = append(*paths, r.Method+" "+r.URL.Path)
+		text := texts[n.Add(1)-1]
+		w.Header().Set(engine.RequestHeader, "r1")
+		fmt.Fprint(w, text)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		if !strings.Contains(text, "[DONE]") {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return caller.Client{HTTP: server.Client(), Pick: func() string { return strings.TrimPrefix(server.URL, "http://") }}
+}
+
+func frame(offset int, text string) string {
+	return fmt.Sprintf("data: {\"id\":\"r1\",\"offset\":%d,\"choices\":[{\"text\":%q,\"finish_reason\":null}]}\n\n", offset, text)
+}
+
+func end(offset int) string {
+	return fmt.Sprintf("data: {\"offset\":%d,\"choices\":[{\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", offset)
+}
+
+func TestCompleteReattachesAndTakesEachTokenOnce(t *testing.T) {
+	c := qt.New(t)
+	var paths []string
+	client := serve(t, &paths, frame(0, "a b "), frame(0, "a b c ")+frame(3, "d ")+end(4))
+	r := client.Complete(context.Background(), "k", caller.Draft{})
+	c.Check(r.Text, qt.Equals, "a b c d ")
+	c.Check(r.Whole, qt.IsTrue)
+	c.Check(r.Reattached, qt.Equals, 1)
+	c.Check(paths, qt.DeepEquals, []string{"POST /v1/completions", "GET /v1/requests/r1"})
+}
+
+func TestCompleteSeesAnAnswerThatIsTooShort(t *testing.T) {
+	c := qt.New(t)
+	var paths []string
+	client := serve(t, &paths, frame(0, "a ")+end(2))
+	c.Check(client.Complete(context.Background(), "k", caller.Draft{}).Whole, qt.IsFalse)
+}
+
+func TestCompleteReadsAnErrorInsideTheStream(t *testing.T) {
+	c := qt.New(t)
+	var paths []string
+	problem := "event: error\ndata: {\"verdict\":\"may_have_run\",\"reason\":\"endpoint_lost\"}\n\n"
+	client := serve(t, &paths, frame(0, "a ")+problem)
+	r := client.Complete(context.Background(), "k", caller.Draft{})
+	c.Assert(r.Failure, qt.Not(qt.IsNil))
+	c.Check(r.Failure.Reason, qt.Equals, verdict.EndpointLost)
+	c.Check(r.Failure.Verdict, qt.Equals, verdict.MayHaveRun)
+}
--- a/internal/process/command/command.go
+++ b/internal/process/command/command.go
@@ -23,7 +23,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(entryCommand(), standinCommand(), askCommand(), checkCommand())
+	root.AddCommand(entryCommand(), standinCommand(), askCommand(), checkCommand(), loadCommand(), demoCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/process/load/load.go
@@ -0,0 +1,217 @@
+// Package load sends a mix of calls at entry hosts and checks every answer.
+//
+// # Open loop
+//
+// Calls arrive at random times with a given mean rate, whether or not earlier
+// ones were answered, so that a slow system is seen as slow.
+//
+// # Checking
+//
+// Model answers are compared with what the stand-in engine must generate for
+// the prompt; answers of the ledger must name the filing that was asked for.
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/caller"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+	"github.com/dandelionlift/dandelionlift/internal/standin/engine"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// Mix gives the relative frequency of each kind of call.
+type Mix struct {
+	Draft  float64
+	Lookup float64
+	Filing float64
+}
+
+// Organisation is one that calls, as often as its Share among all.
+type Organisation struct {
+	Key   string
+	Share float64
+}
+
+// Plan says what to send.
+type Plan struct {
+	// Rate is the mean number of calls a second.
+	Rate     float64
+	Duration time.Duration
+	Mix      Mix
+	Seed     uint64
+	// Model and Ledger are the services that are called.
+	Model         identity.Service
+	Ledger        identity.Service
+	Organisations []Organisation
+	// PromptTokens is the mean length of a prompt, AnswerTokens of an answer.
+	PromptTokens unit.Tokens
+	AnswerTokens unit.Tokens
+	// Conversations is how many prompt prefixes an organisation reuses.
+	Conversations int
+	// Timeout bounds one call with all its repeats.
+	Timeout time.Duration
+}
+
+// Kind is what a call was.
+type Kind string
+
+// The kinds of calls.
+const (
+	Draft  Kind = "draft"
+	Lookup Kind = "lookup"
+	Filing Kind = "filing"
+)
+
+// Outcome is one call with what came of it.
+type Outcome struct {
+	Kind Kind
+	// ID is the filing, for filings and lookups.
+	ID     string
+	Result caller.Result
+	// Swapped tells that the answer was whole but not this call's.
+	Swapped bool
+	// Cut tells that an answer said to be whole lacked some of its text.
+	Cut bool
+}
+
+// Accepted tells that the system took the call on.
+func (o Outcome) Accepted() bool {
+	return o.Result.Whole || o.Result.Failure == nil || o.Result.Failure.Verdict != verdict.NotRun
+}
+
+// Whole tells that the call's own answer came in full.
+func (o Outcome) Whole() bool {
+	return o.Result.Whole && !o.Swapped && !o.Cut
+}
+
+// Run sends the plan's calls through client and gives every outcome.
+func Run(ctx context.Context, client caller.Client, plan Plan) ([]Outcome, error) {
+	random := rand.New(rand.NewPCG(plan.Seed, plan.Seed))
+	var group errgroup.Group
+	var mu sync.Mutex
+	var outcomes []Outcome
+	end := time.Now().Add(plan.Duration)
+	next := time.Now()
+	for number := 0; ; number++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / plan.Rate * float64(time.Second)))
+		if next.After(end) {
+			break
+		}
+		one := plan.draw(random, number)
+		select {
+		case <-time.After(time.Until(next)):
+		case <-ctx.Done():
+			return outcomes, group.Wait()
+		}
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, plan.Timeout)
+			defer cancel()
+			outcome := one.send(ctx, client)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes = append(outcomes, outcome)
+			return nil
+		})
+	}
+	err := group.Wait()
+	return outcomes, err
+}
+
+// shot is one call that was drawn.
+type shot struct {
+	kind  Kind
+	key   string
+	draft caller.Draft
+	call  caller.Call
+	id    string
+}
+
+func (p Plan) draw(random *rand.Rand, number int) shot {
+	organisation := p.pick(random)
+	at := random.Float64() * (p.Mix.Draft + p.Mix.Lookup + p.Mix.Filing)
+	id := fmt.Sprintf("f%d-%d", p.Seed, number)
+	switch {
+	case at < p.Mix.Draft:
+		return shot{kind: Draft, key: organisation.Key, draft: p.drawDraft(random, organisation, number)}
+	case at < p.Mix.Draft+p.Mix.Lookup:
+		return shot{kind: Lookup, key: organisation.Key, id: id, call: caller.Call{
+			Service: p.Ledger, Method: http.MethodGet, Path: "/filings/" + id,
+		}}
+	default:
+		return shot{kind: Filing, key: organisation.Key, id: id, call: caller.Call{
+			Service: p.Ledger, Method: http.MethodPost, Path: "/filings/" + id, Key: id, Body: "count " + id,
+		}}
+	}
+}
+
+func (p Plan) pick(random *rand.Rand) Organisation {
+	total := 0.0
+	for _, o := range p.Organisations {
+		total += o.Share
+	}
+	at := random.Float64() * total
+	for _, o := range p.Organisations {
+		at -= o.Share
+		if at < 0 {
+			return o
+		}
+	}
+	return p.Organisations[len(p.Organisations)-1]
+}
+
+func (p Plan) drawDraft(random *rand.Rand, organisation Organisation, number int) caller.Draft {
+	conversation := random.IntN(max(1, p.Conversations))
+	shared := max(1, int(p.PromptTokens)*3/4)
+	own := max(1, int(p.PromptTokens)/4)
+	var prompt strings.Builder
+	for i := range shared {
+		fmt.Fprintf(&prompt, "%s.%d.%d ", organisation.Key, conversation, i)
+	}
+	for i := range own {
+		fmt.Fprintf(&prompt, "%d.%d ", number, i)
+	}
+	tokens := p.AnswerTokens/2 + unit.Tokens(random.Int64N(max(1, int64(p.AnswerTokens))))
+	return caller.Draft{
+		Model: p.Model, Prompt: strings.TrimSpace(prompt.String()), MaxTokens: max(1, tokens), Stream: true,
+	}
+}
+
+func (s shot) send(ctx context.Context, client caller.Client) Outcome {
+	if s.kind == Draft {
+		return s.sendDraft(ctx, client)
+	}
+	outcome := Outcome{Kind: s.kind, ID: s.id, Result: client.Plain(ctx, s.key, s.call)}
+	if !outcome.Result.Whole {
+		return outcome
+	}
+	var filing struct {
+		ID string `json:"id"`
+	}
+	err := json.Unmarshal([]byte(outcome.Result.Text), &filing)
+	outcome.Cut = err != nil
+	outcome.Swapped = err == nil && filing.ID != s.id
+	return outcome
+}
+
+func (s shot) sendDraft(ctx context.Context, client caller.Client) Outcome {
+	outcome := Outcome{Kind: Draft, Result: client.Complete(ctx, s.key, s.draft)}
+	if !outcome.Result.Whole {
+		return outcome
+	}
+	want := engine.Text(s.draft.Prompt, s.draft.MaxTokens)
+	got := outcome.Result.Text
+	outcome.Cut = got != want && strings.HasPrefix(want, got)
+	outcome.Swapped = got != want && !outcome.Cut
+	return outcome
+}
--- /dev/null
+++ b/internal/process/load/report.go
@@ -0,0 +1,220 @@
+package load
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+)
+
+const (
+	longest = int64(10 * time.Minute / time.Microsecond)
+	digits  = 3
+)
+
+// Percentiles of a latency, in milliseconds.
+type Percentiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+}
+
+// Report sums up outcomes.
+type Report struct {
+	Sent     int `json:"sent"`
+	Accepted int `json:"accepted"`
+	Whole    int `json:"whole"`
+	// Lost were accepted and never answered whole.
+	Lost    int `json:"lost"`
+	Cut     int `json:"cut"`
+	Swapped int `json:"swapped"`
+	// Doubled are filings whose answer says that they ran more than once.
+	Doubled    int `json:"doubled"`
+	Reattached int `json:"reattached"`
+	// Refused counts calls that were answered NotRun, by reason.
+	Refused       map[verdict.Reason]int `json:"refused"`
+	FirstToken    Percentiles            `json:"first_token"`
+	BetweenTokens Percentiles            `json:"between_tokens"`
+	Plain         Percentiles            `json:"plain"`
+
+	first, between, plain *hdrhistogram.Histogram
+}
+
+// Sum makes a Report.
+func Sum(outcomes []Outcome) Report {
+	r := Report{
+		Refused: make(map[verdict.Reason]int),
+		first:   hdrhistogram.New(1, longest, digits),
+		between: hdrhistogram.New(1, longest, digits),
+		plain:   hdrhistogram.New(1, longest, digits),
+	}
+	for _, o := range outcomes {
+		r.add(o)
+	}
+	r.FirstToken = percentiles(r.first)
+	r.BetweenTokens = percentiles(r.between)
+	r.Plain = percentiles(r.plain)
+	return r
+}
+
+func (r *Report) add(o Outcome) {
+	r.Sent++
+	r.Reattached += o.Result.Reattached
+	if !o.Accepted() {
+		r.Refused[o.Result.Failure.Reason]++
+		return
+	}
+	r.Accepted++
+	if o.Whole() {
+		r.Whole++
+	} else {
+		r.Lost++
+	}
+	if o.Cut {
+		r.Cut++
+	}
+	if o.Swapped {
+		r.Swapped++
+	}
+	if o.Kind == Filing && runs(o) > 1 {
+		r.Doubled++
+	}
+	r.latency(o)
+}
+
+func (r *Report) latency(o Outcome) {
+	if o.Kind != Draft {
+		record(r.plain, o.Result.FirstToken)
+		return
+	}
+	if o.Result.FirstToken > 0 {
+		record(r.first, o.Result.FirstToken)
+	}
+	for _, gap := range o.Result.Gaps {
+		record(r.between, gap)
+	}
+}
+
+func runs(o Outcome) int {
+	var filing struct {
+		Runs int `json:"runs"`
+	}
+	if json.Unmarshal([]byte(o.Result.Text), &filing) != nil {
+		return 0
+	}
+	return filing.Runs
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	value := min(max(d.Microseconds(), 1), longest)
+	if err := h.RecordValue(value); err != nil {
+		panic(err)
+	}
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(p float64) float64 { return float64(h.ValueAtPercentile(p)) / 1000 }
+	return Percentiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1000}
+}
+
+// WriteText renders the report for people.
+func (r Report) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "sent\t%d\naccepted\t%d\nwhole\t%d\nlost\t%d\ncut\t%d\nswapped\t%d\ndoubled\t%d\nreattached\t%d\n",
+		r.Sent, r.Accepted, r.Whole, r.Lost, r.Cut, r.Swapped, r.Doubled, r.Reattached)
+	for _, reason := range slices.Sorted(maps.Keys(r.Refused)) {
+		fmt.Fprintf(t, "refused %s\t%d\n", reason, r.Refused[reason])
+	}
+	fmt.Fprintln(t, "latency\tp50 ms\tp95 ms\tp99 ms\tmax ms")
+	for _, line := range r.lines() {
+		p := line.percentiles
+		fmt.Fprintf(t, "%s\t%.1f\t%.1f\t%.1f\t%.1f\n", line.name, p.P50, p.P95, p.P99, p.Max)
+	}
+	return t.Flush()
+}
+
+// line is one latency with its name.
+type line struct {
+	name        string
+	percentiles Percentiles
+	histogram   *hdrhistogram.Histogram
+}
+
+func (r Report) lines() []line {
+	return []line{
+		{"first_token", r.FirstToken, r.first},
+		{"between_tokens", r.BetweenTokens, r.between},
+		{"plain", r.Plain, r.plain},
+	}
+}
+
+// WriteJSON renders the report as one JSON object.
+func (r Report) WriteJSON(w io.Writer) error {
+	return json.NewEncoder(w).Encode(r)
+}
+
+// WriteCSV renders the whole distribution: latency, percentile, milliseconds.
+func (r Report) WriteCSV(w io.Writer) error {
+	c := csv.NewWriter(w)
+	rows := [][]string{{"latency", "percentile", "ms"}}
+	for _, l := range r.lines() {
+		for _, b := range l.histogram.CumulativeDistribution() {
+			rows = append(rows, []string{
+				l.name,
+				strconv.FormatFloat(b.Quantile, 'f', 4, 64),
+				strconv.FormatFloat(float64(b.ValueAt)/1000, 'f', 3, 64),
+			})
+		}
+	}
+	return c.WriteAll(rows)
+}
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// WritePlot draws the distributions; the path's ending, .png or .svg, says how.
+func (r Report) WritePlot(path string) error {
+	if !strings.HasSuffix(path, ".png") && !strings.HasSuffix(path, ".svg") {
+		return fmt.Errorf("plot %q: the name must end in .png or .svg", path)
+	}
+	p := plot.New()
+	p.Title.Text = "latency"
+	p.X.Label.Text = "percentile"
+	p.Y.Label.Text = "milliseconds"
+	for i, l := range r.lines() {
+		if l.histogram.TotalCount() == 0 {
+			continue
+		}
+		var points plotter.XYs
+		for _, b := range l.histogram.CumulativeDistribution() {
+			points = append(points, plotter.XY{X: b.Quantile, Y: float64(b.ValueAt) / 1000})
+		}
+		drawn, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		drawn.Color = plotutil.Color(i)
+		p.Add(drawn)
+		p.Legend.Add(l.name, drawn)
+	}
+	p.Legend.Top = true
+	p.Legend.Left = true
+	return p.Save(plotWidth, plotHeight, path)
+}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -46,6 +46,8 @@
 	engines map[identity.Host]*engine.Engine
 	kinds   map[identity.Service]configuration.Kind
 	spares  int
+	// lives holds one entry for each endpoint that was ever started.
+	lives map[identity.Host]life
 }
 
 // Start listens on every address of the settings and serves until ctx ends.
@@ -63,6 +65,7 @@
 		servers:  make(map[identity.Host]*http.Server),
 		engines:  make(map[identity.Host]*engine.Engine),
 		kinds:    make(map[identity.Service]configuration.Kind),
+		lives:    make(map[identity.Host]life),
 	}
 	d.Cloud.ListLag = time.Duration(settings.ListLag)
 	d.Cloud.Launch = d.launch
@@ -160,6 +163,7 @@
 	}
 	d.mu.Lock()
 	d.servers[e.Host] = server
+	d.lives[e.Host] = life{zone: e.Zone, class: e.Class, reclaimable: e.Reclaimable, started: time.Now()}
 	if model != nil {
 		d.engines[e.Host] = model
 	}
@@ -194,6 +198,7 @@
 	server := d.servers[host]
 	delete(d.servers, host)
 	delete(d.engines, host)
+	d.endLife(host)
 	d.mu.Unlock()
 	if server != nil {
 		server.Close()
