--- /dev/null
+++ b/internal/version/route/baseline_test.go
@@ -0,0 +1,98 @@
+package route_test
+
+import (
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/route"
+	"github.com/zeebo/xxh3"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+)
+
+// policy picks an engine's index for a request at a host, or -1.
+type policy struct {
+	choose      func(h *fakeHost, r *request) int
+	finished    func(h *fakeHost, r *request, endpoint int)
+	cacheEvents func(h *fakeHost, endpoint int, incarnation identity.Incarnation, events []engine.CacheEvent)
+}
+
+var policies = []struct {
+	name string
+	make func(*sim) policy
+}{
+	{"dandelionlift", dandelionlift},
+	{"round_robin", func(s *sim) policy { return policy{choose: s.roundRobin} }},
+	{"least_outstanding", func(s *sim) policy { return policy{choose: s.leastOutstanding} }},
+	{"cheapest_first", func(s *sim) policy { return policy{choose: s.cheapestFirst} }},
+	{"prefix_hash", func(s *sim) policy { return policy{choose: s.prefixHash} }},
+}
+
+func dandelionlift(s *sim) policy {
+	return policy{choose: func(h *fakeHost, _ *request) int {
+		e, ok := route.Choose(h.snapshot, route.Ask{Service: "model"}, h.random)
+		if !ok {
+			return -1
+		}
+		return s.number(e)
+	}}
+}
+
+func (s *sim) number(e fleet.Endpoint) int { return s.index(&fakeEngine{endpoint: e}) }
+
+// present lists the endpoints of a host's view that aren't leaving.
+func present(h *fakeHost) []fleet.Endpoint {
+	var list []fleet.Endpoint
+	for _, e := range h.snapshot.Endpoints {
+		if !e.Leaving {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (s *sim) roundRobin(h *fakeHost, _ *request) int {
+	list := present(h)
+	h.turn++
+	return s.number(list[(h.turn+h.index)%len(list)])
+}
+
+// leastOutstanding counts a host's own requests; ties go to any.
+func (s *sim) leastOutstanding(h *fakeHost, _ *request) int {
+	return s.least(h, func(e fleet.Endpoint) float64 { return float64(h.outstanding[s.number(e)]) })
+}
+
+// cheapestFirst takes the cheapest with room in its last report.
+func (s *sim) cheapestFirst(h *fakeHost, _ *request) int {
+	return s.least(h, func(e fleet.Endpoint) float64 {
+		cost := s.engines[s.number(e)].price
+		if e.Load.Running+e.Load.Waiting >= batchSize {
+			cost += 1e9
+		}
+		return cost
+	})
+}
+
+// prefixHash hashes past the organisation's common blocks, by rendezvous.
+func (s *sim) prefixHash(h *fakeHost, r *request) int {
+	key := uint64(r.blocks[min(15, len(r.blocks)-1)])
+	return s.least(h, func(e fleet.Endpoint) float64 {
+		return float64(xxh3.HashStringSeed(string(e.Incarnation), key))
+	})
+}
+
+func (s *sim) least(h *fakeHost, cost func(fleet.Endpoint) float64) int {
+	best, lowest, tied := -1, 0.0, 0
+	for _, e := range present(h) {
+		c := cost(e)
+		switch {
+		case best < 0 || c < lowest:
+			best, lowest, tied = s.number(e), c, 1
+		case c == lowest:
+			tied++
+			if h.random.IntN(tied) == 0 {
+				best = s.number(e)
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/version/route/policy_test.go
@@ -0,0 +1,591 @@
+package route_test
+
+import (
+	"container/heap"
+	"container/list"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// The engine fake: a step reads up to stepTokens of prompt and gives each
+// decoding sequence one token. A host is paid for while it has work and for
+// handBack after, when it would have been given back.
+const (
+	simulated     = 180 * time.Second
+	warmUp        = 30 * time.Second
+	waveAt        = 60 * time.Second
+	waveNotice    = 5 * time.Second
+	waveBack      = 120 * time.Second
+	handBack      = 10 * time.Second
+	prefillRate   = 8000
+	stepTokens    = 256
+	stepBase      = 20 * time.Millisecond
+	stepEach      = time.Millisecond
+	batchSize     = 24
+	cacheBlocks   = 1875
+	reportLag     = 300 * time.Millisecond
+	pollEvery     = time.Second
+	callerLatency = 3 * time.Millisecond
+	regionLatency = 10 * time.Millisecond
+	promptBytes   = 6
+	frameBytes    = 200
+	linkPerGB     = 20_000
+)
+
+// workload is a stream of conversations about documents.
+type workload struct {
+	name        string
+	regions     []string
+	endpoints   int
+	hosts       int
+	startsEvery time.Duration
+	documents   int
+	// blocks bounds the length of documents, turns those of a conversation.
+	blocks, turns [2]int
+	output        int
+	batchShare    float64
+	service       configuration.Service
+}
+
+var workloads = []workload{
+	{
+		name: "perseid", regions: []string{"levant", "andes", "karoo"}, endpoints: 20, hosts: 8,
+		startsEvery: 70 * time.Millisecond, documents: 2000, blocks: [2]int{8, 48}, turns: [2]int{1, 2}, output: 160, batchShare: 0.3,
+		service: configuration.Service{ID: "model", CostWeight: 6e6, RecomputeWeight: 0.05},
+	},
+	{
+		name: "holloway", regions: []string{"derby", "crewe", "leicester"}, endpoints: 10, hosts: 7,
+		startsEvery: 900 * time.Millisecond, documents: 120, blocks: [2]int{60, 180}, turns: [2]int{2, 6}, output: 150,
+		service: configuration.Service{ID: "model", CostWeight: 5e5, RecomputeWeight: 0.5},
+	},
+}
+
+// sim is the discrete event loop.
+type sim struct {
+	work    workload
+	fault   string
+	random  *rand.Rand
+	now     time.Duration
+	queue   events
+	engines []*fakeEngine
+	hosts   []*fakeHost
+	config  configuration.Configuration
+	seen    map[engine.Block]bool
+	policy  policy
+	result  result
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type events []event
+
+func (q events) Len() int      { return len(q) }
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].order < q[j].order)
+}
+func (q *events) Push(x any) { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func (s *sim) at(t time.Duration, run func()) {
+	s.result.events++
+	heap.Push(&s.queue, event{at: t, order: s.result.events, run: run})
+}
+
+// request is one call; a reclaimed one goes on with what it has generated.
+type request struct {
+	host         *fakeHost
+	organisation int
+	blocks       []engine.Block
+	batch        bool
+	arrived      time.Duration
+	firstToken   time.Duration
+	lastToken    time.Duration
+	generated    int
+	output       int
+	toRead       int
+	reading      bool
+	remote       bool
+	done         func()
+}
+
+func (r *request) prompt() int { return len(r.blocks)*int(engine.BlockTokens) + r.generated }
+
+type fakeEngine struct {
+	endpoint         fleet.Endpoint
+	region           string
+	price            float64
+	running, waiting []*request
+	stepping         bool
+	gone             bool
+	paidUntil        time.Duration
+	paid             time.Duration
+	cached           map[engine.Block]*list.Element
+	order            *list.List
+	log              []engine.CacheEvent
+	sequence         uint64
+	history          []fleet.Load
+}
+
+func (e *fakeEngine) reset() {
+	e.cached, e.order = make(map[engine.Block]*list.Element), list.New()
+	e.running, e.waiting, e.log, e.sequence = nil, nil, nil, 0
+}
+
+func (e *fakeEngine) note(block engine.Block, stored bool) {
+	e.sequence++
+	e.log = append(e.log, engine.CacheEvent{Sequence: e.sequence, Stored: stored, Block: block, Tokens: engine.BlockTokens})
+}
+
+func (e *fakeEngine) store(blocks []engine.Block) {
+	for _, b := range blocks {
+		if held, ok := e.cached[b]; ok {
+			e.order.MoveToFront(held)
+			continue
+		}
+		e.cached[b] = e.order.PushFront(b)
+		e.note(b, true)
+	}
+	for e.order.Len() > cacheBlocks {
+		oldest := e.order.Remove(e.order.Back()).(engine.Block)
+		delete(e.cached, oldest)
+		e.note(oldest, false)
+	}
+}
+
+// start moves waiting requests into the batch, interactive ones first.
+func (s *sim) start(e *fakeEngine) {
+	for len(e.running) < batchSize && len(e.waiting) > 0 {
+		next := 0
+		for next < len(e.waiting)-1 && e.waiting[next].batch {
+			next++
+		}
+		if e.waiting[next].batch {
+			next = 0
+		}
+		r := e.waiting[next]
+		e.waiting = append(e.waiting[:next], e.waiting[next+1:]...)
+		hits := 0
+		for hits < len(r.blocks) && e.cached[r.blocks[hits]] != nil {
+			e.order.MoveToFront(e.cached[r.blocks[hits]])
+			hits++
+		}
+		for _, b := range r.blocks[hits:] {
+			if s.seen[b] && s.now > warmUp {
+				s.result.recomputed += int(engine.BlockTokens)
+			}
+			s.seen[b] = true
+		}
+		r.toRead = max(1, r.prompt()-hits*int(engine.BlockTokens))
+		r.reading = true
+		e.running = append(e.running, r)
+	}
+}
+
+func (s *sim) step(e *fakeEngine) {
+	s.start(e)
+	if len(e.running) == 0 || e.gone {
+		e.stepping = false
+		return
+	}
+	e.stepping = true
+	left := stepTokens
+	var emits []*request
+	for _, r := range e.running {
+		read := min(left, r.toRead)
+		r.toRead -= read
+		left -= read
+		if r.toRead == 0 {
+			emits = append(emits, r)
+		}
+	}
+	took := stepBase + time.Duration(len(e.running)-1)*stepEach + time.Duration(stepTokens-left)*time.Second/prefillRate
+	end := s.now + took
+	e.paid += end + handBack - max(e.paidUntil, s.now)
+	e.paidUntil = end + handBack
+	incarnation := e.endpoint.Incarnation
+	s.at(end, func() {
+		if e.gone || e.endpoint.Incarnation != incarnation {
+			return
+		}
+		for _, r := range emits {
+			s.emit(e, r)
+		}
+		s.step(e)
+	})
+}
+
+func (s *sim) emit(e *fakeEngine, r *request) {
+	at := s.now + callerLatency
+	if r.remote {
+		at += regionLatency
+	}
+	r.generated++
+	if r.reading {
+		r.reading = false
+		e.store(r.blocks)
+	}
+	switch {
+	case r.firstToken == 0:
+		r.firstToken = at
+	case r.arrived > warmUp && !r.batch:
+		s.result.gaps[min(len(s.result.gaps)-1, int((at-r.lastToken)/time.Millisecond))]++
+	}
+	r.lastToken = at
+	if r.generated < r.output {
+		return
+	}
+	for i, other := range e.running {
+		if other == r {
+			e.running = append(e.running[:i], e.running[i+1:]...)
+			break
+		}
+	}
+	s.finish(e, r)
+}
+
+// send dispatches to the policy's choice, and again when the host was taken.
+func (s *sim) send(r *request) {
+	i := s.policy.choose(r.host, r)
+	if i < 0 {
+		s.at(s.now+100*time.Millisecond, func() { s.send(r) })
+		return
+	}
+	e := s.engines[i]
+	r.host.outstanding[i]++
+	r.remote = e.region != r.host.region
+	delay := time.Duration(0)
+	if r.remote {
+		delay = regionLatency
+		s.result.crossBytes += float64(r.prompt()*promptBytes + (r.output-r.generated)*frameBytes)
+	}
+	s.at(s.now+delay, func() {
+		if e.gone {
+			r.host.outstanding[i]--
+			s.send(r)
+			return
+		}
+		e.waiting = append(e.waiting, r)
+		if !e.stepping {
+			s.step(e)
+		}
+	})
+}
+
+func (s *sim) finish(e *fakeEngine, r *request) {
+	r.host.outstanding[s.index(e)]--
+	if s.policy.finished != nil {
+		s.policy.finished(r.host, r, s.index(e))
+	}
+	if r.arrived > warmUp {
+		s.result.measure(r)
+	}
+	r.done()
+}
+
+func (s *sim) index(e *fakeEngine) int {
+	i, _ := strconv.Atoi(string(e.endpoint.Host[1:]))
+	return i
+}
+
+// wave takes a zone's reclaimable hosts on notice and brings new ones later.
+func (s *sim) wave() {
+	for _, e := range s.engines {
+		if e.region != s.work.regions[0] || !e.endpoint.Reclaimable {
+			continue
+		}
+		e.endpoint.Leaving = true
+		s.at(waveAt+waveNotice, func() {
+			e.gone, e.stepping = true, false
+			lost := append(e.running, e.waiting...)
+			e.reset()
+			for _, r := range lost {
+				r.host.outstanding[s.index(e)]--
+				s.send(r)
+			}
+		})
+		s.at(waveBack, func() {
+			e.gone, e.endpoint.Leaving = false, false
+			e.endpoint.Incarnation += "-again"
+			e.endpoint.Since = simTime(s.now)
+			e.endpoint.Load, e.history = fleet.Load{}, nil
+		})
+	}
+}
+
+// fakeHost is one entry host with its own late view of the engines.
+type fakeHost struct {
+	index       int
+	region      string
+	snapshot    *fleet.Snapshot
+	outstanding []int
+	turn        int
+	random      *rand.Rand
+	seenEvents  []uint64
+	reports     []fleet.Load
+}
+
+func simTime(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+// poll refreshes a host's view; reports are as old as the fault makes them.
+func (s *sim) poll(h *fakeHost) {
+	every := pollEvery
+	if s.fault == "lagging_reports" {
+		every *= 5
+	}
+	for i, e := range s.engines {
+		if len(e.history) > 0 {
+			h.reports[i] = e.history[0]
+		}
+		if s.policy.cacheEvents == nil || (s.fault == "gaps" && h.random.Float64() < 0.3) {
+			h.seenEvents[i] = e.sequence
+			continue
+		}
+		from := len(e.log) - int(e.sequence-min(e.sequence, h.seenEvents[i]))
+		batch := e.log[max(0, from):]
+		h.seenEvents[i] = e.sequence
+		incarnation := e.endpoint.Incarnation
+		s.at(s.now+time.Second, func() { s.policy.cacheEvents(h, i, incarnation, batch) })
+	}
+	s.look(h)
+	s.at(s.now+every, func() { s.poll(h) })
+}
+
+// look rebuilds a host's snapshot; who is leaving is known at once.
+func (s *sim) look(h *fakeHost) {
+	list := make([]fleet.Endpoint, 0, len(s.engines))
+	for i, e := range s.engines {
+		if e.gone {
+			continue
+		}
+		seen := e.endpoint
+		seen.Load = h.reports[i]
+		if seen.Load.At.Before(seen.Since) {
+			seen.Load = fleet.Load{}
+		}
+		list = append(list, seen)
+	}
+	h.snapshot = fleet.New(identity.Host(fmt.Sprintf("h%d", h.index)), identity.Zone(h.region+"-a"), s.config, list)
+}
+
+// record lets each engine keep a report, of which the oldest is shown.
+func (s *sim) record() {
+	lag := reportLag
+	if s.fault == "lagging_reports" {
+		lag = 3 * time.Second
+	}
+	for _, e := range s.engines {
+		load := fleet.Load{
+			At: simTime(s.now), Running: len(e.running), Waiting: len(e.waiting),
+			CachedTokens: unit.Tokens(e.order.Len()) * engine.BlockTokens, CacheCapacity: cacheBlocks * engine.BlockTokens,
+		}
+		for _, r := range append(e.running, e.waiting...) {
+			load.WaitingTokens += unit.Tokens(max(0, r.toRead))
+		}
+		e.history = append(e.history, load)
+		for len(e.history) > 1 && !e.history[1].At.After(simTime(s.now-lag)) {
+			e.history = e.history[1:]
+		}
+	}
+	s.at(s.now+100*time.Millisecond, s.record)
+}
+
+// converse plays one conversation: each turn adds to the prompt.
+func (s *sim) converse() {
+	swing := 1 + 0.5*math.Sin(float64(s.now)/float64(20*time.Second))
+	s.at(s.now+time.Duration(s.random.ExpFloat64()*float64(s.work.startsEvery)*swing), s.converse)
+	random := rand.New(rand.NewPCG(s.random.Uint64(), 1))
+	organisation := min(int(random.ExpFloat64()*1.2), 4)
+	document := int(float64(s.work.documents) * math.Pow(random.Float64(), 2))
+	mix := rand.New(rand.NewPCG(uint64(document), uint64(organisation)))
+	length := s.work.blocks[0] + mix.IntN(s.work.blocks[1]-s.work.blocks[0]+1)
+	var blocks []engine.Block
+	for i := range length {
+		if i < 8 {
+			blocks = append(blocks, engine.Block(organisation*1000+i+1))
+			continue
+		}
+		blocks = append(blocks, engine.Block(mix.Uint64()))
+	}
+	turns := s.work.turns[0] + random.IntN(s.work.turns[1]-s.work.turns[0]+1)
+	s.turn(random, organisation, blocks, turns, random.Float64() < s.work.batchShare)
+}
+
+func (s *sim) turn(random *rand.Rand, organisation int, blocks []engine.Block, left int, batch bool) {
+	host := s.hosts[random.IntN(len(s.hosts))]
+	for range 1 + random.IntN(6) {
+		blocks = append(blocks, engine.Block(random.Uint64()))
+	}
+	r := &request{host: host, organisation: organisation, blocks: blocks, batch: batch, arrived: s.now}
+	r.output = s.work.output/2 + random.IntN(s.work.output)
+	r.done = func() {
+		if left > 1 {
+			pause := time.Duration((3 + random.ExpFloat64()*10) * float64(time.Second))
+			s.at(s.now+pause, func() { s.turn(random, organisation, blocks[:len(blocks):len(blocks)], left-1, batch) })
+		}
+	}
+	s.at(s.now+callerLatency, func() { s.send(r) })
+}
+
+// result is what a run measured after its warm-up.
+type result struct {
+	events, requests, interactive, inTarget, tokens, recomputed int
+	crossBytes                                                  float64
+	first                                                       [20_000]int
+	gaps                                                        [5_000]int
+}
+
+func (r *result) measure(done *request) {
+	r.requests++
+	r.tokens += done.output
+	if done.batch {
+		return
+	}
+	r.interactive++
+	wait := done.firstToken - done.arrived
+	gap := (done.lastToken - done.firstToken) / time.Duration(max(1, done.output-1))
+	if wait <= 1300*time.Millisecond && gap <= 73*time.Millisecond {
+		r.inTarget++
+	}
+	r.first[min(len(r.first)-1, int(wait/time.Millisecond))]++
+}
+
+func percentile(histogram []int, share float64) float64 {
+	total, sum := 0, 0
+	for _, n := range histogram {
+		total += n
+	}
+	for i, n := range histogram {
+		if sum += n; float64(sum) >= share*float64(total) {
+			return float64(i)
+		}
+	}
+	return 0
+}
+
+func seed() uint64 {
+	n, err := strconv.ParseUint(os.Getenv("DANDELIONLIFT_SEED"), 10, 64)
+	if err != nil {
+		return 1
+	}
+	return n
+}
+
+// newSim builds the example deployment of a workload.
+func newSim(w workload, fault string, p func(*sim) policy) *sim {
+	s := &sim{work: w, fault: fault, random: rand.New(rand.NewPCG(seed(), 7)), seen: make(map[engine.Block]bool)}
+	w.service.FirstToken = configuration.Duration(1300 * time.Millisecond)
+	w.service.BetweenTokens = configuration.Duration(73 * time.Millisecond)
+	s.config = configuration.Configuration{Version: 1, Services: []configuration.Service{w.service}}
+	for i, region := range w.regions {
+		zone, dearer := identity.Zone(region+"-a"), unit.Money(100+15*i)
+		s.config.Zones = append(s.config.Zones, configuration.Zone{ID: zone, Region: identity.Region(region)})
+		s.config.Prices = append(s.config.Prices,
+			configuration.Price{Zone: zone, Class: "small", Reclaimable: 3_000 * dearer, OnDemand: 10_000 * dearer},
+			configuration.Price{Zone: zone, Class: "large", Reclaimable: 5_500 * dearer, OnDemand: 19_000 * dearer})
+		for _, other := range w.regions[:i] {
+			s.config.Links = append(s.config.Links, configuration.Link{
+				From: identity.Region(region), To: identity.Region(other), PerGigabyte: linkPerGB, Latency: configuration.Duration(regionLatency)})
+		}
+	}
+	for i := range w.endpoints {
+		e := &fakeEngine{region: w.regions[i%3]}
+		e.endpoint = fleet.Endpoint{
+			Host: identity.Host(fmt.Sprintf("e%02d", i)), Incarnation: identity.Incarnation(fmt.Sprintf("i%02d", i)), Service: "model",
+			Zone: identity.Zone(e.region + "-a"), Class: []identity.Class{"small", "large"}[i%2], Reclaimable: i >= 3,
+		}
+		price, _ := s.config.Price(e.endpoint.Zone, e.endpoint.Class)
+		e.price = float64(price.OnDemand)
+		if e.endpoint.Reclaimable {
+			e.price = float64(price.Reclaimable)
+		}
+		e.reset()
+		s.engines = append(s.engines, e)
+	}
+	for i := range w.hosts {
+		s.hosts = append(s.hosts, &fakeHost{
+			index: i, region: w.regions[i%3], outstanding: make([]int, w.endpoints), seenEvents: make([]uint64, w.endpoints),
+			reports: make([]fleet.Load, w.endpoints), random: rand.New(rand.NewPCG(seed(), uint64(100+i))),
+		})
+	}
+	s.policy = p(s)
+	return s
+}
+
+// run plays the workload and gives cost in millionths a thousand tokens.
+func (s *sim) run() (costPerKtok float64) {
+	s.record()
+	for i, h := range s.hosts {
+		s.look(h)
+		s.at(time.Duration(i)*pollEvery/time.Duration(len(s.hosts)), func() { s.poll(h) })
+	}
+	if s.fault == "reclaim_wave" {
+		s.at(waveAt, s.wave)
+		for _, t := range []time.Duration{waveAt + 500*time.Millisecond, waveAt + waveNotice} {
+			for _, h := range s.hosts {
+				s.at(t, func() { s.look(h) })
+			}
+		}
+	}
+	s.converse()
+	paidBefore := 0.0
+	s.at(warmUp, func() { paidBefore, s.result.crossBytes = s.paid(), 0 })
+	for len(s.queue) > 0 && s.queue[0].at < simulated {
+		next := heap.Pop(&s.queue).(event)
+		s.now = next.at
+		next.run()
+	}
+	spent := s.paid() - paidBefore + s.result.crossBytes/1e9*linkPerGB
+	return spent / (float64(s.result.tokens) / 1000)
+}
+
+func (s *sim) paid() float64 {
+	sum := 0.0
+	for _, e := range s.engines {
+		sum += e.price * e.paid.Hours()
+	}
+	return sum
+}
+
+func BenchmarkPolicy(b *testing.B) {
+	for _, w := range workloads {
+		for _, fault := range []string{"none", "reclaim_wave", "lagging_reports", "gaps"} {
+			for _, p := range policies {
+				b.Run(fmt.Sprintf("workload=%s/fault=%s/policy=%s", w.name, fault, p.name), func(b *testing.B) {
+					for b.Loop() {
+						s := newSim(w, fault, p.make)
+						cost := s.run()
+						r := &s.result
+						b.ReportMetric(cost, "cost/ktok")
+						b.ReportMetric(float64(r.recomputed)/float64(r.requests), "recomputed/req")
+						b.ReportMetric(percentile(r.first[:], 0.95), "ttft_p95_ms")
+						b.ReportMetric(percentile(r.gaps[:], 0.95), "itl_p95_ms")
+						b.ReportMetric(100*float64(r.inTarget)/float64(r.interactive), "in_target_%")
+						b.ReportMetric(r.crossBytes/1e6, "cross_region_MB")
+						b.ReportMetric(float64(r.requests), "requests")
+					}
+				})
+			}
+		}
+	}
+}
