controller/leaving: remember every word of leaving, in any order

Cause: the state forgot what it could not place at once. A notice without an incarnation for a host not yet listed was dropped, and so was the endpoint's own word when it came before its host list; an older host list replaced a newer one; a withdrawal alone, as a host reads it that joins late, made its host leave; a notice that the full event queue refused within the watcher's time was never asked for again. Ruled out: keying by host alone, which would make a successor of the same name leave; undoing on withdrawal, since a host that saw only the first of the two would differ from the others for ever.

A withdrawal is ignored: the incarnation that was noticed stays leaving, and a withdrawal alone changes nothing. Lists and reports older than the newest applied are dropped. The sequence of a notice is passed only when posted.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -38,14 +38,6 @@
 	Hosts []cloud.Host
 }
 
-// LeavingSeen tells that an incarnation is leaving. An empty Incarnation means
-// the one that is known now.
-type LeavingSeen struct {
-	Host        identity.Host
-	Incarnation identity.Incarnation
-	Deadline    time.Time
-}
-
 // LoadSeen carries an endpoint's report of its load.
 type LoadSeen struct {
 	At     time.Time
@@ -72,8 +64,9 @@
 	configuration configuration.Configuration
 	endpoints     map[identity.Host]fleet.Endpoint
 	entryHosts    map[identity.Host]cloud.Host
-	// leaving never shrinks while an incarnation may still be seen.
-	leaving map[identity.Incarnation]time.Time
+	// listedAt is when the newest host list that was applied was seen.
+	listedAt time.Time
+	leaving  leaving
 }
 
 // New makes a Controller for an entry host in a zone.
@@ -85,7 +78,7 @@
 			zone:       zone,
 			endpoints:  make(map[identity.Host]fleet.Endpoint),
 			entryHosts: make(map[identity.Host]cloud.Host),
-			leaving:    make(map[identity.Incarnation]time.Time),
+			leaving:    newLeaving(),
 		},
 	}
 	c.publish()
@@ -141,6 +134,10 @@
 }
 
 func (e HostsSeen) apply(s *state) {
+	if e.At.Before(s.listedAt) {
+		return
+	}
+	s.listedAt = e.At
 	listed := make(map[identity.Host]bool, len(e.Hosts))
 	for _, h := range e.Hosts {
 		listed[h.ID] = true
@@ -152,6 +149,7 @@
 	}
 	maps.DeleteFunc(s.endpoints, func(id identity.Host, _ fleet.Endpoint) bool { return !listed[id] })
 	maps.DeleteFunc(s.entryHosts, func(id identity.Host, _ cloud.Host) bool { return !listed[id] })
+	s.leaving.age(e.At, s.endpoints)
 }
 
 // see takes one endpoint of the host list into the state.
@@ -167,44 +165,18 @@
 	known.Reclaimable = h.Reclaimable
 	known.ChecksFence = h.ChecksFence
 	if h.State == cloud.Leaving {
-		s.leave(h.Incarnation, time.Time{})
-	}
-	deadline, leaving := s.leaving[h.Incarnation]
-	known.Leaving = known.Leaving || leaving
-	if !deadline.IsZero() {
-		known.Deadline = deadline
-	}
-	s.endpoints[h.ID] = known
-}
-
-// leave remembers an incarnation, keeping the earliest deadline.
-func (s *state) leave(incarnation identity.Incarnation, deadline time.Time) {
-	known, ok := s.leaving[incarnation]
-	if !ok || known.IsZero() || (!deadline.IsZero() && deadline.Before(known)) {
-		s.leaving[incarnation] = deadline
-	}
-}
-
-func (e LeavingSeen) apply(s *state) {
-	known, ok := s.endpoints[e.Host]
-	incarnation := e.Incarnation
-	if incarnation == "" {
-		incarnation = known.Incarnation
-	}
-	if incarnation == "" {
-		return
-	}
-	s.leave(incarnation, e.Deadline)
-	if ok && known.Incarnation == incarnation {
-		known.Leaving = true
-		known.Deadline = s.leaving[incarnation]
-		s.endpoints[e.Host] = known
+		s.leaving.add(h.Incarnation, time.Time{})
 	}
+	s.leaving.listed(at, h.ID, h.Incarnation)
+	s.endpoints[h.ID] = s.leaving.mark(known)
 }
 
 func (e LoadSeen) apply(s *state) {
+	if e.Report.Leaving {
+		LeavingSeen{Host: e.Host, Incarnation: e.Report.Incarnation}.apply(s)
+	}
 	known, ok := s.endpoints[e.Host]
-	if !ok || known.Incarnation != e.Report.Incarnation {
+	if !ok || known.Incarnation != e.Report.Incarnation || e.At.Before(known.Load.At) {
 		return
 	}
 	known.Load = fleet.Load{
@@ -216,9 +188,6 @@
 		CacheCapacity: e.Report.CacheCapacity,
 	}
 	s.endpoints[e.Host] = known
-	if e.Report.Leaving {
-		LeavingSeen{Host: e.Host, Incarnation: e.Report.Incarnation}.apply(s)
-	}
 }
 
 func (e ConfigurationSeen) apply(s *state) {
--- a/internal/process/controller/watch.go
+++ b/internal/process/controller/watch.go
@@ -74,9 +74,15 @@
 			return
 		}
 		for _, n := range notices {
+			w.Log.Info("notice", "endpoint", n.Host, "incarnation", n.Incarnation,
+				"deadline", n.Deadline, "withdrawn", n.Withdrawn)
+			if !n.Withdrawn {
+				w.Controller.Post(ctx, LeavingSeen{Host: n.Host, Incarnation: n.Incarnation, Deadline: n.Deadline})
+			}
+			if ctx.Err() != nil {
+				return
+			}
 			after = max(after, n.Sequence)
-			w.Log.Info("notice", "endpoint", n.Host, "incarnation", n.Incarnation, "deadline", n.Deadline)
-			w.Controller.Post(ctx, LeavingSeen{Host: n.Host, Incarnation: n.Incarnation, Deadline: n.Deadline})
 		}
 	})
 }
