cmd/dandelionlift: a failure run over separate processes

Cause: nothing had been killed, paused, frozen or cut off while the whole path ran as processes of its own. Ruled out: virtual time (it has no SIGSTOP and no kernel sockets); counting by the system's own metrics. The callers' client asks anew for a draft whose host died. TestCompleteAsksAnewWhenTheRequestDiedWithItsHost fails without it.

--- /dev/null
+++ b/cmd/dandelionlift/relay_test.go
@@ -0,0 +1,95 @@
+//go:build failure
+
+package main_test
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// relay passes TCP connections on. Freeze makes the open ones silent for good
+// while new ones work.
+type relay struct {
+	listener net.Listener
+	target   string
+	group    errgroup.Group
+
+	mu     sync.Mutex
+	frozen chan struct{}
+}
+
+func newRelay(listen, target string) (*relay, error) {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: listener, target: target, frozen: make(chan struct{})}
+	r.group.Go(func() error {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			r.pass(from)
+		}
+	})
+	return r, nil
+}
+
+func (r *relay) freeze() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.frozen)
+	r.frozen = make(chan struct{})
+}
+
+func (r *relay) pass(from net.Conn) {
+	to, err := net.Dial("tcp", r.target)
+	if err != nil {
+		from.Close()
+		return
+	}
+	r.mu.Lock()
+	frozen := r.frozen
+	r.mu.Unlock()
+	r.group.Go(func() error { return copyUntil(to, from, frozen) })
+	r.group.Go(func() error { return copyUntil(from, to, frozen) })
+}
+
+// copyUntil copies until an end closes; once frozen it drops what it reads.
+func copyUntil(to, from net.Conn, frozen chan struct{}) error {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-frozen:
+			if err == nil {
+				continue
+			}
+			from.Close()
+			return nil
+		default:
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				from.Close()
+				return nil
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				from.Close()
+			}
+			to.Close()
+			return nil
+		}
+	}
+}
+
+func (r *relay) address() netip.AddrPort {
+	return r.listener.Addr().(*net.TCPAddr).AddrPort()
+}
--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -5,7 +5,8 @@
 //
 // An accepted request has an id from the first byte of its answer on. Complete
 // goes on under that id when its connection is lost, at whatever entry host
-// Pick names next, and takes each token once.
+// Pick names next, and takes each token once. If no host knows the id any more,
+// the entry host that held it died, and the draft is asked for anew.
 package caller
 
 import (
@@ -29,8 +30,11 @@
 const (
 	maxEventBytes = 1 << 20
 	tries         = 40
-	pause         = 250 * time.Millisecond
-	jsonType      = "application/json"
+	// toleratedUnknown is how many hosts in a row may not know a request before
+	// it is taken for lost with its entry host.
+	toleratedUnknown = 4
+	pause            = 250 * time.Millisecond
+	jsonType         = "application/json"
 )
 
 // Client calls entry hosts.
@@ -63,6 +67,15 @@
 	// Reattached counts the connections that were lost on the way.
 	Reattached int
 	Status     int
+	// Attempts are the sendings of a plain call in order.
+	Attempts []Attempt
+}
+
+// Attempt is one sending of a plain call with what its caller may conclude.
+type Attempt struct {
+	Sent, Answered time.Time
+	// Verdict is of this sending alone: MayHaveRun when no answer came.
+	Verdict verdict.Verdict
 }
 
 // event is one server-sent event of an answer.
@@ -89,6 +102,17 @@
 	tokens unit.Tokens
 	sent   time.Time
 	last   time.Time
+	// unknown counts the hosts in a row that did not know the request.
+	unknown int
+}
+
+// restart forgets an answer that died with its entry host, so that the draft is
+// asked for anew. An answer to a draft may be generated again.
+func (r *reading) restart() {
+	r.unknown = 0
+	r.tokens = 0
+	r.result.Request = ""
+	r.result.Text = ""
 }
 
 // Complete asks for a draft and reads it to its end.
@@ -108,6 +132,9 @@
 		}
 		request.Header.Set("Authorization", "Bearer "+key)
 		done, failure := c.read(request, r)
+		if r.unknown > toleratedUnknown {
+			r.restart()
+		}
 		if done {
 			r.result.Failure = failure
 			return r.result
@@ -151,9 +178,13 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		failure := readRefusal(response)
-		lost := request.Method == http.MethodGet && failure.Reason == verdict.UnknownRequest
-		return !lost, failure
+		if request.Method == http.MethodGet && failure.Reason == verdict.UnknownRequest {
+			r.unknown++
+			return false, failure
+		}
+		return true, failure
 	}
+	r.unknown = 0
 	return r.follow(response.Body)
 }
 
@@ -230,33 +261,80 @@
 	Body string
 }
 
-// Plain makes a call to a plain service; it is sent again only where the answer
-// says that it was not run, or under a Key.
+// Plain makes a call to a plain service. Under a Key it is sent again until an
+// answer comes that speaks for all sendings: a NotRun says nothing of an earlier
+// sending whose answer was lost.
 func (c Client) Plain(ctx context.Context, key string, call Call) Result {
 	result := Result{}
+	var attempts []Attempt
 	for try := range tries {
 		if try > 0 {
 			wait(ctx)
 		}
-		target := "http://" + c.Pick() + "/v1/services/" + string(call.Service) + call.Path
-		request, err := http.NewRequestWithContext(ctx, call.Method, target, strings.NewReader(call.Body))
+		request, err := c.plainRequest(ctx, key, call)
 		if err != nil {
 			return Result{Failure: verdict.Wrap(verdict.NotRun, verdict.BadRequest, err)}
 		}
-		request.GetBody = nil
-		request.Header.Set("Authorization", "Bearer "+key)
-		if call.Key != "" {
-			request.Header.Set("Idempotency-Key", call.Key)
-		}
+		sent := time.Now()
 		result = c.once(request)
-		again := call.Key != "" || call.Method == http.MethodGet
-		if result.Whole || result.Status != 0 || !again || ctx.Err() != nil {
+		attempts = append(attempts, Attempt{Sent: sent, Answered: time.Now(), Verdict: result.verdict()})
+		result.Attempts = attempts
+		if settled(attempts, call) || ctx.Err() != nil {
 			return result
 		}
 	}
+	if open(attempts) {
+		result.Failure = verdict.New(verdict.MayHaveRun, result.Failure.Reason, "an earlier sending was not answered")
+	}
 	return result
 }
 
+func (c Client) plainRequest(ctx context.Context, key string, call Call) (*http.Request, error) {
+	target := "http://" + c.Pick() + "/v1/services/" + string(call.Service) + call.Path
+	request, err := http.NewRequestWithContext(ctx, call.Method, target, strings.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	request.Header.Set("Authorization", "Bearer "+key)
+	if call.Key != "" {
+		request.Header.Set("Idempotency-Key", call.Key)
+	}
+	return request, nil
+}
+
+// verdict reads what one sending's answer says.
+func (r Result) verdict() verdict.Verdict {
+	switch {
+	case r.Failure == nil:
+		return verdict.Ran
+	default:
+		return r.Failure.Verdict
+	}
+}
+
+// open tells that some sending may have run and none was answered whole.
+func open(attempts []Attempt) bool {
+	for _, a := range attempts {
+		if a.Verdict == verdict.MayHaveRun {
+			return true
+		}
+	}
+	return false
+}
+
+// settled tells that the last answer ends the call.
+func settled(attempts []Attempt, call Call) bool {
+	last := attempts[len(attempts)-1]
+	if last.Verdict == verdict.Ran {
+		return true
+	}
+	if last.Verdict == verdict.NotRun {
+		return !open(attempts)
+	}
+	return call.Key == "" && call.Method != http.MethodGet
+}
+
 // once makes one plain call; a zero Status means that no answer came.
 func (c Client) once(request *http.Request) Result {
 	sent := time.Now()
--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -16,6 +16,8 @@
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 )
 
+const unknown = "unknown"
+
 // serve answers the n-th request with the n-th text; a text without [DONE]
 // ends with a cut connection.
 func serve(t *testing.T, paths *[]string, texts ...string) caller.Client {
@@ -24,6 +26,10 @@
 		*paths = append(*paths, r.Method+" "+r.URL.Path)
 		text := texts[n.Add(1)-1]
 		w.Header().Set(engine.RequestHeader, "r1")
+		if text == unknown {
+			w.WriteHeader(http.StatusNotFound)
+			text = "{\"verdict\":\"may_have_run\",\"reason\":\"unknown_request\",\"detail\":\"[DONE]\"}"
+		}
 		fmt.Fprint(w, text)
 		if http.NewResponseController(w).Flush() != nil {
 			return
@@ -72,3 +78,13 @@
 	c.Check(r.Failure.Reason, qt.Equals, verdict.EndpointLost)
 	c.Check(r.Failure.Verdict, qt.Equals, verdict.MayHaveRun)
 }
+
+func TestCompleteAsksAnewWhenTheRequestDiedWithItsHost(t *testing.T) {
+	c := qt.New(t)
+	var paths []string
+	texts := []string{frame(0, "a b "), unknown, unknown, unknown, unknown, unknown, frame(0, "x y ") + end(2)}
+	r := serve(t, &paths, texts...).Complete(context.Background(), "k", caller.Draft{})
+	c.Check(r.Text, qt.Equals, "x y ")
+	c.Check(r.Whole, qt.IsTrue)
+	c.Check(paths[len(paths)-1], qt.Equals, "POST /v1/completions")
+}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -119,10 +119,17 @@
 	return err
 }
 
+// Records is what the endpoints really did.
+type Records struct {
+	Models engine.Totals `json:"models"`
+	// Filings gives how often each filing ran.
+	Filings map[string]int `json:"filings"`
+}
+
 // records answers with what the endpoints really did.
 func (d *Deployment) records(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(d.Models.Totals())
+	json.NewEncoder(w).Encode(Records{Models: d.Models.Totals(), Filings: d.Filings.All()})
 }
 
 // serve runs a server until the context ends or the server is closed.
@@ -168,6 +175,9 @@
 		d.engines[e.Host] = model
 	}
 	d.mu.Unlock()
+	if e.Advertise.IsValid() {
+		address = e.Advertise
+	}
 	return wire.Host{
 		ID: e.Host, Incarnation: incarnation, Zone: e.Zone, Class: e.Class, Reclaimable: e.Reclaimable,
 		Service: e.Service, Address: address, State: wire.Live, ChecksFence: !e.IgnoresFence,
--- a/internal/standin/deployment/settings.go
+++ b/internal/standin/deployment/settings.go
@@ -49,6 +49,8 @@
 	Service     identity.Service   `toml:"service" json:"service"`
 	Kind        configuration.Kind `toml:"kind" json:"kind"`
 	Listen      netip.AddrPort     `toml:"listen" json:"listen"`
+	// Advertise is the address in the host list, where it is not Listen.
+	Advertise netip.AddrPort `toml:"advertise,omitempty" json:"advertise"`
 	// IgnoresFence makes the engine obey orders with an old fence.
 	IgnoresFence bool `toml:"ignores_fence" json:"ignores_fence"`
 }
--- a/internal/standin/ledger/ledger.go
+++ b/internal/standin/ledger/ledger.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -39,6 +40,13 @@
 	return r.runs[filing]
 }
 
+// All gives how often each filing ran.
+func (r *Records) All() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.runs)
+}
+
 // Filing is the answer to a filing or a lookup.
 type Filing struct {
 	ID   string `json:"id"`
