route/score: choose by price, wait, volume and recomputation

Cause: least reported load herded and knew no price and no prefix. Ruled out: scoring every endpoint, which is not five microseconds at 750.

--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -17,7 +17,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -32,15 +31,12 @@
 	"github.com/dandelionlift/dandelionlift/internal/request/attempt"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
-	"github.com/dandelionlift/dandelionlift/internal/version/route"
 )
 
 // Server serves callers. Make one with New.
 type Server struct {
 	// Snapshot gives the state that decisions are made on.
 	Snapshot func() *fleet.Snapshot
-	// Choose picks the endpoint of an attempt.
-	Choose func(*fleet.Snapshot, route.Ask) (fleet.Endpoint, bool)
 	Engine engine.Client
 	Meter  *meter.Meter
 	Log    *slog.Logger
@@ -52,14 +48,12 @@
 	group    *errgroup.Group
 	ctx      context.Context
 	stopping atomic.Bool
+	router   *router
 }
 
 // New makes a server whose work runs in group until ctx ends.
 func New(ctx context.Context, group *errgroup.Group, s settings.Entry, options ...Option) *Server {
 	server := &Server{
-		Choose: func(f *fleet.Snapshot, ask route.Ask) (fleet.Endpoint, bool) {
-			return route.Choose(f, ask, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-		},
 		Engine:   engine.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}},
 		Meter:    meter.New(),
 		Log:      slog.Default(),
@@ -68,6 +62,7 @@
 		requests: newRequests(s.Limits.Requests, time.Duration(s.Limits.AnswerKept)),
 		group:    group,
 		ctx:      ctx,
+		router:   newCallRouter(),
 	}
 	for _, option := range options {
 		option(server)
--- a/internal/version/route/baseline_test.go
+++ b/internal/version/route/baseline_test.go
@@ -1,9 +1,15 @@
 package route_test
 
 import (
+	"os"
+	"strconv"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/dispatch"
+	"github.com/dandelionlift/dandelionlift/internal/process/prefix"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 	"github.com/dandelionlift/dandelionlift/internal/version/route"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
 	"github.com/zeebo/xxh3"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
@@ -27,14 +33,41 @@
 	{"prefix_hash", func(s *sim) policy { return policy{choose: s.prefixHash} }},
 }
 
+// dandelionlift gives each host a book of its own and an index of caches.
 func dandelionlift(s *sim) policy {
-	return policy{choose: func(h *fakeHost, _ *request) int {
-		e, ok := route.Choose(h.snapshot, route.Ask{Service: "model"}, h.random)
-		if !ok {
+	books, indexes := make([]*dispatch.Book, len(s.hosts)), make([]*prefix.Index, len(s.hosts))
+	know := make([]route.Knowledge, len(s.hosts))
+	tables := make([]*route.Table, len(s.hosts))
+	for i := range s.hosts {
+		books[i], indexes[i] = dispatch.New(), prefix.New()
+		know[i] = route.Knowledge{Own: books[i].Own, Cached: indexes[i].Cached, Holder: indexes[i].Holder, Hosts: len(s.hosts), Without: without()}
+	}
+	choose := func(h *fakeHost, r *request) int {
+		if tables[h.index] == nil || tables[h.index].Snapshot() != h.snapshot {
+			tables[h.index] = route.New(h.snapshot, nil)
+		}
+		ask := route.Ask{Service: "model", Blocks: r.blocks, PromptTokens: unit.Tokens(r.prompt()), MaxTokens: unit.Tokens(r.output - r.generated), Batch: r.batch}
+		var d route.Decision
+		if !tables[h.index].Choose(&ask, &know[h.index], simTime(s.now), h.random, &d) {
 			return -1
 		}
+		e := tables[h.index].Find(&d)
+		books[h.index].Begin(r.id, e.Incarnation, ask.PromptTokens, simTime(s.now))
 		return s.number(e)
-	}}
+	}
+	return policy{
+		choose:   choose,
+		finished: func(h *fakeHost, r *request, _ int) { books[h.index].End(r.id, true, simTime(s.now)) },
+		cacheEvents: func(h *fakeHost, _ int, of identity.Incarnation, events []engine.CacheEvent) {
+			indexes[h.index].Apply(of, events)
+		},
+	}
+}
+
+// without reads the terms to switch off, as a number, for trials.
+func without() route.Term {
+	n, _ := strconv.ParseUint(os.Getenv("DANDELIONLIFT_WITHOUT"), 10, 8)
+	return route.Term(n)
 }
 
 func (s *sim) number(e fleet.Endpoint) int { return s.index(&fakeEngine{endpoint: e}) }
--- a/internal/version/route/policy_test.go
+++ b/internal/version/route/policy_test.go
@@ -114,6 +114,7 @@
 
 // request is one call; a reclaimed one goes on with what it has generated.
 type request struct {
+	id           identity.Request
 	host         *fakeHost
 	organisation int
 	blocks       []engine.Block
@@ -356,6 +357,7 @@
 	for i, e := range s.engines {
 		if len(e.history) > 0 {
 			h.reports[i] = e.history[0]
+			h.reports[i].At = simTime(s.now)
 		}
 		if s.policy.cacheEvents == nil || (s.fault == "gaps" && h.random.Float64() < 0.3) {
 			h.seenEvents[i] = e.sequence
@@ -436,7 +438,7 @@
 	for range 1 + random.IntN(6) {
 		blocks = append(blocks, engine.Block(random.Uint64()))
 	}
-	r := &request{host: host, organisation: organisation, blocks: blocks, batch: batch, arrived: s.now}
+	r := &request{id: identity.Request(strconv.Itoa(s.result.events)), host: host, organisation: organisation, blocks: blocks, batch: batch, arrived: s.now}
 	r.output = s.work.output/2 + random.IntN(s.work.output)
 	r.done = func() {
 		if left > 1 {
--- /dev/null
+++ b/internal/version/route/score.go
@@ -0,0 +1,169 @@
+package route
+
+import (
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// Term names a part of the score, as a bit.
+type Term uint8
+
+// The terms that can be switched off.
+const (
+	Wait Term = 1 << iota
+	Price
+	Link
+	Recompute
+	Target
+	SlowStart
+	Affinity
+	Aging
+)
+
+// Terms is a candidate's score in milliseconds; the lowest sum wins.
+type Terms struct {
+	// Wait is the expected time to the first token.
+	Wait float64
+	// Price and Link are the call's cost of host time and of volume.
+	Price float64
+	Link  float64
+	// Recompute is the worth of tokens to be read again.
+	Recompute float64
+	// Target is what the call would take from the latency target.
+	Target float64
+	// Start holds back from a new endpoint.
+	Start float64
+}
+
+// Sum is the score.
+func (t *Terms) Sum() float64 {
+	return t.Wait + t.Price + t.Link + t.Recompute + t.Target + t.Start
+}
+
+// What an endpoint is taken to do.
+const (
+	prefillPerMilli  = 8.0
+	tokenMillis      = 20.0
+	tokenEachMillis  = 1.0
+	stepTokens       = 256.0
+	handBackSeconds  = 10.0
+	bytesPerToken    = 6.0
+	bytesPerFrame    = 200.0
+	reportLag        = 300 * time.Millisecond
+	agingAfter       = 3 * time.Second
+	slowStart        = 10 * time.Second
+	slowStartMillis  = 400.0
+	targetShare      = 0.5
+	overTarget       = 4.0
+	overBoundMillis  = 150.0
+	answerShare      = 0.5
+	homeTrust        = 0.5
+	batchPatience    = 4.0
+	millisPerSecond  = 1000.0
+	boundedLoadRatio = 1.25
+)
+
+// score rates the entry at i; home tells that it is the prompt's first home.
+func (c *chooser) score(i int, home bool) Terms {
+	e := &c.group.entries[i]
+	endpoint := &c.table.snapshot.Endpoints[e.index]
+	running, backlog := c.load(endpoint)
+	uncached := float64(c.ask.PromptTokens - c.cached(endpoint, home))
+	output := float64(c.ask.MaxTokens) * answerShare
+	service := &c.group.service
+	without := c.know.Without
+	var t Terms
+	if c.ask.PromptTokens == 0 {
+		backlog, uncached = 0, 0
+	}
+	step := tokenMillis + tokenEachMillis*running
+	wait := (uncached+backlog)*(1/prefillPerMilli+step/stepTokens) + step + 2*millis(e.latency)
+	if without&Wait == 0 {
+		t.Wait = wait
+	}
+	if without&Price == 0 {
+		t.Price = service.CostWeight * e.price * busySeconds(running, uncached, output)
+	}
+	if without&Link == 0 {
+		t.Link = service.CostWeight * e.link * (float64(c.ask.PromptTokens)*bytesPerToken + output*bytesPerFrame)
+	}
+	if without&Recompute == 0 {
+		t.Recompute = service.RecomputeWeight * uncached
+	}
+	if without&Target == 0 {
+		t.Target = c.target(wait, running)
+	}
+	if age := c.now.Sub(endpoint.Since); without&SlowStart == 0 && !endpoint.Since.IsZero() && age < slowStart {
+		t.Start = slowStartMillis * (1 - float64(age)/float64(slowStart))
+	}
+	return t
+}
+
+// busySeconds is the host time that one more request takes: it shares each
+// step with those running, and keeps an idle host from being handed back.
+func busySeconds(running, uncached, output float64) float64 {
+	seconds := (uncached/prefillPerMilli + output*(tokenMillis/(running+1)+tokenEachMillis)) / millisPerSecond
+	if running < 1 {
+		seconds += handBackSeconds * (1 - running)
+	}
+	return seconds
+}
+
+// target is the part of the wait beyond a share of the target, and a charge
+// for each request beyond the bounded load.
+func (c *chooser) target(wait, running float64) float64 {
+	limit := millis(time.Duration(c.group.service.FirstToken)) * targetShare
+	bound := max(occupancy, boundedLoadRatio*c.group.load)
+	if c.ask.Batch {
+		limit *= batchPatience
+	}
+	t := 0.0
+	if limit > 0 && wait > limit {
+		t += overTarget * (wait - limit)
+	}
+	if running > bound {
+		t += overBoundMillis * (running - bound)
+	}
+	return t
+}
+
+// load estimates the requests on an endpoint now and its unread prompt tokens:
+// the report, and what this host and others like it sent since. The older the
+// report, the more counts what this host itself has there.
+func (c *chooser) load(endpoint *fleet.Endpoint) (running, backlog float64) {
+	report := &endpoint.Load
+	var own Own
+	if c.know.Own != nil {
+		own = c.know.Own(endpoint.Incarnation, report.At.Add(-reportLag))
+	}
+	hosts := float64(max(1, c.know.Hosts))
+	mine := float64(own.InFlight) * hosts
+	if report.At.IsZero() {
+		return mine, float64(own.SinceTokens)
+	}
+	reported := float64(report.Running+report.Waiting) + float64(own.Since)*hosts
+	backlog = float64(report.WaitingTokens) + float64(own.SinceTokens)*hosts
+	if c.know.Without&Aging != 0 {
+		return reported, backlog
+	}
+	fresh := float64(agingAfter) / float64(agingAfter+max(0, c.now.Sub(report.At)))
+	return fresh*reported + (1-fresh)*c.group.load, fresh * backlog
+}
+
+// cached estimates the leading prompt tokens that an endpoint holds.
+func (c *chooser) cached(endpoint *fleet.Endpoint, home bool) unit.Tokens {
+	guess := 0.0
+	if home {
+		guess = homeTrust * float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
+	}
+	if c.know.Cached == nil || len(c.ask.Blocks) == 0 {
+		return unit.Tokens(guess)
+	}
+	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
+	return unit.Tokens(trust*float64(held) + (1-trust)*guess)
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/version/route/table.go
@@ -0,0 +1,169 @@
+package route
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// Table is a snapshot prepared for decisions. It is immutable.
+type Table struct {
+	snapshot *fleet.Snapshot
+	groups   map[identity.Service]*group
+}
+
+// group holds the endpoints of one service.
+type group struct {
+	service configuration.Service
+	// entries is sorted by price and holds none that leaves or is ejected.
+	entries []entry
+	// active counts the leading entries that get work first, at least 1 unless
+	// entries is empty.
+	active int
+	// near are entries of the host's own zone.
+	near          []int
+	byIncarnation map[identity.Incarnation]int
+	// load is the mean of running and waiting over the active entries.
+	load float64
+}
+
+type entry struct {
+	index int
+	hash  uint64
+	// price is in coins a second, link in coins a byte to the caller's region.
+	price   float64
+	link    float64
+	latency time.Duration
+}
+
+// New prepares a snapshot. Endpoints that failing names are ejected, but never
+// more than a third of a service nor half of its endpoints in a zone.
+func New(s *fleet.Snapshot, failing func(identity.Incarnation) bool) *Table {
+	t := &Table{snapshot: s, groups: make(map[identity.Service]*group)}
+	for _, service := range s.Configuration.Services {
+		t.groups[service.ID] = newGroup(s, service, failing)
+	}
+	return t
+}
+
+// Snapshot is what the table was made from.
+func (t *Table) Snapshot() *fleet.Snapshot { return t.snapshot }
+
+// Active lists the indexes into the snapshot's Endpoints that get a service's
+// work first.
+func (t *Table) Active(service identity.Service) []int {
+	g := t.groups[service]
+	if g == nil {
+		return nil
+	}
+	var list []int
+	for _, e := range g.entries[:g.active] {
+		list = append(list, e.index)
+	}
+	return list
+}
+
+func newGroup(s *fleet.Snapshot, service configuration.Service, failing func(identity.Incarnation) bool) *group {
+	g := &group{service: service, byIncarnation: make(map[identity.Incarnation]int)}
+	ejected := eject(s, service.ID, failing)
+	for _, i := range s.Serving(service.ID) {
+		if s.Endpoints[i].Leaving || slices.Contains(ejected, i) {
+			continue
+		}
+		g.entries = append(g.entries, newEntry(s, i))
+	}
+	slices.SortFunc(g.entries, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.hash, b.hash))
+	})
+	for i, e := range g.entries {
+		endpoint := &s.Endpoints[e.index]
+		g.byIncarnation[endpoint.Incarnation] = i
+		if endpoint.Zone == s.Zone {
+			g.near = append(g.near, i)
+		}
+	}
+	g.activate(s)
+	return g
+}
+
+func newEntry(s *fleet.Snapshot, i int) entry {
+	endpoint := &s.Endpoints[i]
+	e := entry{index: i, hash: xxh3.HashString(string(endpoint.Incarnation))}
+	if p, ok := s.Configuration.Price(endpoint.Zone, endpoint.Class); ok {
+		hourly := p.OnDemand
+		if endpoint.Reclaimable {
+			hourly = p.Reclaimable
+		}
+		e.price = float64(hourly) / float64(unit.Coin) / time.Hour.Seconds()
+	}
+	region := s.Configuration.Region(endpoint.Zone)
+	if region != s.Region {
+		link := s.Configuration.Link(s.Region, region)
+		e.link = float64(link.PerGigabyte) / float64(unit.Coin) / float64(unit.Gigabyte)
+		e.latency = time.Duration(link.Latency)
+	}
+	return e
+}
+
+const (
+	// occupancy is how many requests an active endpoint should have.
+	occupancy = 10.0
+	// headroom is the share of active endpoints above what the load needs.
+	headroom = 0.25
+	// reuseHourly is how often an hour a cached token is taken to be read.
+	reuseHourly = 10.0
+)
+
+// activate counts the entries that the load needs and those whose cache is
+// worth their price.
+func (g *group) activate(s *fleet.Snapshot) {
+	total, worth := 0.0, 0
+	for i, e := range g.entries {
+		load := s.Endpoints[e.index].Load
+		total += float64(load.Running + load.Waiting)
+		held := g.service.RecomputeWeight * float64(load.CacheCapacity) * reuseHourly
+		if held > g.service.CostWeight*e.price*time.Hour.Seconds() {
+			worth = i + 1
+		}
+	}
+	needed := int(math.Ceil(total*(1+headroom)/occupancy)) + 1
+	if g.service.Kind == configuration.Plain {
+		needed = len(g.entries)
+	}
+	g.active = min(len(g.entries), max(needed, worth))
+	if g.active > 0 {
+		g.load = total / float64(g.active)
+	}
+}
+
+// rendezvous gives the two active entries that rank highest for key, or -1.
+func (g *group) rendezvous(key uint64) (first, second int) {
+	first, second = -1, -1
+	var high, next uint64
+	for i := range g.entries[:g.active] {
+		rank := mix(key ^ g.entries[i].hash)
+		switch {
+		case first < 0 || rank > high:
+			second, next = first, high
+			first, high = i, rank
+		case second < 0 || rank > next:
+			second, next = i, rank
+		}
+	}
+	return first, second
+}
+
+// mix spreads the bits of x, as in the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
