route/score: guess that a home holds its prefix though no event says so

Cause: events come a second late, so a home that was just filled looked empty and the next call with the prefix went elsewhere; and an endpoint's cache was taken to be read ten times an hour, so that Holloway's active set changed with price and moved the homes. Ruled out: more trust in events alone. Change: the guess for the first home is a floor; reuse is 60 an hour.

--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -37,9 +37,9 @@
 type Server struct {
 	// Snapshot gives the state that decisions are made on.
 	Snapshot func() *fleet.Snapshot
-	Engine engine.Client
-	Meter  *meter.Meter
-	Log    *slog.Logger
+	Engine   engine.Client
+	Meter    *meter.Meter
+	Log      *slog.Logger
 	// Silence bounds how long an attempt may go without progress.
 	Silence attempt.Silence
 
--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -163,7 +163,7 @@
 		return unit.Tokens(guess)
 	}
 	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
-	return unit.Tokens(trust*float64(held) + (1-trust)*guess)
+	return unit.Tokens(max(guess, trust*float64(held)))
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -119,7 +119,7 @@
 	// headroom is the share of active endpoints above what the load needs.
 	headroom = 0.25
 	// reuseHourly is how often an hour a cached token is taken to be read.
-	reuseHourly = 10.0
+	reuseHourly = 60.0
 )
 
 // activate counts the entries that the load needs and those whose cache is
