route/score: count others' dispatches by a share, and let demand fall slowly

Cause: own dispatches since the report were multiplied by all hosts, which at a few calls a second sees eight long prompts where one was sent; the load of endpoints that leave vanished from the demand. Ruled out: ignoring other hosts. Change: other hosts are taken to be alike by a quarter; backlog drains with the report's age; a stale report gives way to own in-flight and the mean; the book counts tokens to be read, not the whole prompt; demand includes leaving endpoints and falls with 20 s.

--- a/internal/process/entry/routing.go
+++ b/internal/process/entry/routing.go
@@ -36,11 +36,12 @@
 
 // prepared gives the table of a snapshot, made once for each.
 func (r *router) prepared(s *fleet.Snapshot) *route.Table {
-	if t := r.table.Load(); t != nil && t.Snapshot() == s {
-		return t
+	before := r.table.Load()
+	if before != nil && before.Snapshot() == s {
+		return before
 	}
 	now := time.Now()
-	t := route.New(s, func(i identity.Incarnation) bool { return r.book.Failing(i, now) })
+	t := route.New(s, before, now, func(i identity.Incarnation) bool { return r.book.Failing(i, now) })
 	r.table.Store(t)
 	return t
 }
@@ -71,6 +72,6 @@
 		return fleet.Endpoint{}, false
 	}
 	e := table.Find(&d)
-	r.book.Begin(c.Request, e.Incarnation, c.PromptTokens, now)
+	r.book.Begin(c.Request, e.Incarnation, d.Candidates[d.Winner].Terms.Uncached, now)
 	return e, true
 }
--- a/internal/version/route/baseline_test.go
+++ b/internal/version/route/baseline_test.go
@@ -44,7 +44,7 @@
 	}
 	choose := func(h *fakeHost, r *request) int {
 		if tables[h.index] == nil || tables[h.index].Snapshot() != h.snapshot {
-			tables[h.index] = route.New(h.snapshot, nil)
+			tables[h.index] = route.New(h.snapshot, tables[h.index], simTime(s.now), nil)
 		}
 		ask := route.Ask{Service: "model", Blocks: r.blocks, PromptTokens: unit.Tokens(r.prompt()), MaxTokens: unit.Tokens(r.output - r.generated), Batch: r.batch}
 		var d route.Decision
@@ -52,7 +52,7 @@
 			return -1
 		}
 		e := tables[h.index].Find(&d)
-		books[h.index].Begin(r.id, e.Incarnation, ask.PromptTokens, simTime(s.now))
+		books[h.index].Begin(r.id, e.Incarnation, d.Candidates[d.Winner].Terms.Uncached, simTime(s.now))
 		return s.number(e)
 	}
 	return policy{
--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -36,6 +36,8 @@
 	Target float64
 	// Start holds back from a new endpoint.
 	Start float64
+	// Uncached is how many prompt tokens would be read.
+	Uncached unit.Tokens
 }
 
 // Sum is the score.
@@ -45,22 +47,25 @@
 
 // What an endpoint is taken to do.
 const (
-	prefillPerMilli  = 8.0
-	tokenMillis      = 20.0
-	tokenEachMillis  = 1.0
-	stepTokens       = 256.0
-	handBackSeconds  = 10.0
-	bytesPerToken    = 6.0
-	bytesPerFrame    = 200.0
-	reportLag        = 300 * time.Millisecond
-	agingAfter       = 3 * time.Second
-	slowStart        = 10 * time.Second
-	slowStartMillis  = 400.0
-	targetShare      = 0.5
-	overTarget       = 4.0
-	overBoundMillis  = 150.0
-	answerShare      = 0.5
-	homeTrust        = 0.5
+	prefillPerMilli = 8.0
+	tokenMillis     = 20.0
+	tokenEachMillis = 1.0
+	stepTokens      = 256.0
+	handBackSeconds = 10.0
+	bytesPerToken   = 6.0
+	bytesPerFrame   = 200.0
+	reportLag       = 300 * time.Millisecond
+	agingAfter      = 3 * time.Second
+	slowStart       = 10 * time.Second
+	slowStartMillis = 400.0
+	targetShare     = 0.5
+	overTarget      = 4.0
+	overBoundMillis = 150.0
+	answerShare     = 0.5
+	homeTrust       = 0.5
+	// alike is how far other hosts are taken to have sent what this one did.
+	alike            = 0.25
+	drainShare       = 0.5
 	batchPatience    = 4.0
 	millisPerSecond  = 1000.0
 	boundedLoadRatio = 1.25
@@ -75,7 +80,7 @@
 	output := float64(c.ask.MaxTokens) * answerShare
 	service := &c.group.service
 	without := c.know.Without
-	var t Terms
+	t := Terms{Uncached: unit.Tokens(uncached)}
 	if c.ask.PromptTokens == 0 {
 		backlog, uncached = 0, 0
 	}
@@ -139,18 +144,20 @@
 	if c.know.Own != nil {
 		own = c.know.Own(endpoint.Incarnation, report.At.Add(-reportLag))
 	}
-	hosts := float64(max(1, c.know.Hosts))
-	mine := float64(own.InFlight) * hosts
+	others := float64(max(1, c.know.Hosts) - 1)
+	sent := 1 + others*alike
+	drained := millis(max(0, c.now.Sub(report.At))) * prefillPerMilli * drainShare
+	backlog = max(0, float64(report.WaitingTokens)+float64(own.SinceTokens)*sent-drained)
 	if report.At.IsZero() {
-		return mine, float64(own.SinceTokens)
+		return float64(own.InFlight) * sent, float64(own.SinceTokens)
 	}
-	reported := float64(report.Running+report.Waiting) + float64(own.Since)*hosts
-	backlog = float64(report.WaitingTokens) + float64(own.SinceTokens)*hosts
+	reported := float64(report.Running+report.Waiting) + float64(own.Since)*sent
 	if c.know.Without&Aging != 0 {
 		return reported, backlog
 	}
 	fresh := float64(agingAfter) / float64(agingAfter+max(0, c.now.Sub(report.At)))
-	return fresh*reported + (1-fresh)*c.group.load, fresh * backlog
+	expected := c.group.load*others/(others+1) + float64(own.InFlight)
+	return fresh*reported + (1-fresh)*expected, fresh * backlog
 }
 
 // cached estimates the leading prompt tokens that an endpoint holds.
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -17,6 +17,7 @@
 // Table is a snapshot prepared for decisions. It is immutable.
 type Table struct {
 	snapshot *fleet.Snapshot
+	at       time.Time
 	groups   map[identity.Service]*group
 }
 
@@ -33,6 +34,8 @@
 	byIncarnation map[identity.Incarnation]int
 	// load is the mean of running and waiting over the active entries.
 	load float64
+	// demand is the requests running and waiting, which falls slowly.
+	demand float64
 }
 
 type entry struct {
@@ -44,16 +47,34 @@
 	latency time.Duration
 }
 
-// New prepares a snapshot. Endpoints that failing names are ejected, but never
+// New prepares a snapshot at now. The table before it may be nil; from it the
+// demand is carried on. Endpoints that failing names are ejected, but never
 // more than a third of a service nor half of its endpoints in a zone.
-func New(s *fleet.Snapshot, failing func(identity.Incarnation) bool) *Table {
-	t := &Table{snapshot: s, groups: make(map[identity.Service]*group)}
+func New(s *fleet.Snapshot, before *Table, now time.Time, failing func(identity.Incarnation) bool) *Table {
+	t := &Table{snapshot: s, at: now, groups: make(map[identity.Service]*group)}
 	for _, service := range s.Configuration.Services {
-		t.groups[service.ID] = newGroup(s, service, failing)
+		g := newGroup(s, service, failing)
+		g.demand = demand(s, service.ID)
+		if before != nil && before.groups[service.ID] != nil {
+			elapsed := now.Sub(before.at).Seconds()
+			g.demand = max(g.demand, before.groups[service.ID].demand*math.Exp(-elapsed/demandFall.Seconds()))
+		}
+		g.activate(s)
+		t.groups[service.ID] = g
 	}
 	return t
 }
 
+// demand sums what endpoints report, those that leave too, since their work
+// goes elsewhere.
+func demand(s *fleet.Snapshot, service identity.Service) float64 {
+	sum := 0.0
+	for _, i := range s.Serving(service) {
+		sum += float64(s.Endpoints[i].Load.Running + s.Endpoints[i].Load.Waiting)
+	}
+	return sum
+}
+
 // Snapshot is what the table was made from.
 func (t *Table) Snapshot() *fleet.Snapshot { return t.snapshot }
 
@@ -90,7 +111,6 @@
 			g.near = append(g.near, i)
 		}
 	}
-	g.activate(s)
 	return g
 }
 
@@ -118,6 +138,8 @@
 	occupancy = 10.0
 	// headroom is the share of active endpoints above what the load needs.
 	headroom = 0.25
+	// demandFall is the time constant with which demand falls.
+	demandFall = 20 * time.Second
 	// reuseHourly is how often an hour a cached token is taken to be read.
 	reuseHourly = 60.0
 )
@@ -125,22 +147,21 @@
 // activate counts the entries that the load needs and those whose cache is
 // worth their price.
 func (g *group) activate(s *fleet.Snapshot) {
-	total, worth := 0.0, 0
+	worth := 0
 	for i, e := range g.entries {
 		load := s.Endpoints[e.index].Load
-		total += float64(load.Running + load.Waiting)
 		held := g.service.RecomputeWeight * float64(load.CacheCapacity) * reuseHourly
 		if held > g.service.CostWeight*e.price*time.Hour.Seconds() {
 			worth = i + 1
 		}
 	}
-	needed := int(math.Ceil(total*(1+headroom)/occupancy)) + 1
+	needed := int(math.Ceil(g.demand*(1+headroom)/occupancy)) + 1
 	if g.service.Kind == configuration.Plain {
 		needed = len(g.entries)
 	}
 	g.active = min(len(g.entries), max(needed, worth))
 	if g.active > 0 {
-		g.load = total / float64(g.active)
+		g.load = g.demand / float64(g.active)
 	}
 }
 
