entry/peers: listen for other entry hosts behind shared keys

Cause: entry hosts could not speak to one another, and operators' changes had no way into the key-value service. Ruled out: sending the key itself (anyone on the way could use it again) and HTTP/1 for peers (one connection a call under way). Seen to fail before: with the callee's proof unchecked, TestPeerKeysRotate and TestPeerCalleeMustProveItsKey failed; with a lost answer returned as an error, TestCommandRunsOnceThoughItsAnswerIsLost failed.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -62,6 +62,7 @@
 type Controller struct {
 	events   chan Event
 	snapshot atomic.Pointer[fleet.Snapshot]
+	hosts    atomic.Pointer[[]cloud.Host]
 	state    state
 }
 
@@ -97,6 +98,11 @@
 	return c.snapshot.Load()
 }
 
+// EntryHosts gives the entry hosts of the host list, sorted by id.
+func (c *Controller) EntryHosts() []cloud.Host {
+	return *c.hosts.Load()
+}
+
 // Post hands an event to Run; it gives up when ctx ends.
 func (c *Controller) Post(ctx context.Context, e Event) {
 	select {
@@ -137,6 +143,11 @@
 	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
 		endpoints = append(endpoints, s.endpoints[id])
 	}
+	hosts := make([]cloud.Host, 0, len(s.entryHosts))
+	for _, id := range slices.Sorted(maps.Keys(s.entryHosts)) {
+		hosts = append(hosts, s.entryHosts[id])
+	}
+	c.hosts.Store(&hosts)
 	c.snapshot.Store(fleet.New(s.host, s.zone, s.configuration, endpoints))
 }
 
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -18,6 +18,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
@@ -51,8 +52,9 @@
 		fx.StartTimeout(startTimeout),
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
+			peer.NewRouter, newMembers,
 		),
-		fx.Invoke(runControl, runFront),
+		fx.Invoke(runControl, runPeers, runFront),
 	)
 }
 
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -34,7 +34,7 @@
 // Bootstrap offers c as the first version where the service has none.
 func (j Journal) Bootstrap(ctx context.Context, c configuration.Configuration) error {
 	c.Version = 1
-	data, err := json.Marshal(c)
+	data, err := json.Marshal(head{Configuration: c})
 	if err != nil {
 		return err
 	}
@@ -73,10 +73,10 @@
 }
 
 func (j Journal) adopt(ctx context.Context, value keyvalue.Value) error {
-	var c configuration.Configuration
-	if err := json.Unmarshal(value.Data, &c); err != nil {
+	var present head
+	if err := json.Unmarshal(value.Data, &present); err != nil {
 		return err
 	}
-	j.Adopt(ctx, c)
+	j.Adopt(ctx, present.Configuration)
 	return nil
 }
--- /dev/null
+++ b/internal/process/member/service.go
@@ -0,0 +1,23 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
+)
+
+// service answers the peers' calls.
+type service struct {
+	peer.UnimplementedPeerServiceHandler
+	members *Members
+}
+
+// Beat answers one heartbeat.
+func (v service) Beat(ctx context.Context, request *connect.Request[peer.BeatRequest]) (*connect.Response[peer.BeatResponse], error) {
+	response := &peer.BeatResponse{Sender: v.members.self.sender()}
+	err := v.members.do(ctx, func(s *state) { s.heard(time.Now(), request.Msg.GetSender()) })
+	return connect.NewResponse(response), err
+}
