process/settings: list every mistake with file, line, key and what is right

Cause: a settings file was refused at its first unknown key, without a word on what would be right, and nothing was checked beyond TOML: a duration written as a bare number was taken for nanoseconds, an unknown zone, a duplicate id or a share of 7 passed, and the stand-in's file and the bootstrap configuration had no check at all.

Ruled out: go-toml's own strict errors alone, which stop at the first wrong type, and which return an error without a position for a number in place of an address (the first draft took that for success; the test with listen = 8080 found it).

--- /dev/null
+++ b/internal/process/command/check.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/settings"
+	"github.com/dandelionlift/dandelionlift/internal/standin/deployment"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+)
+
+func checkCommand() *cobra.Command {
+	var path string
+	var printDefaults bool
+	c := &cobra.Command{
+		Use:   "check",
+		Short: "List every mistake in a settings file, of an entry host or the stand-ins, or in a configuration",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if printDefaults {
+				fmt.Fprint(c.OutOrStdout(), settings.Defaults)
+				return nil
+			}
+			if path == "" {
+				return errors.New("check needs --settings FILE or --print-defaults")
+			}
+			kind, err := checkFile(path)
+			if err == nil {
+				fmt.Fprintf(c.OutOrStdout(), "ok: %s\n", kind)
+			}
+			return err
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "file to check")
+	c.Flags().BoolVar(&printDefaults, "print-defaults", false, "print a commented settings file of an entry host")
+	return c
+}
+
+// checkFile takes a file for the kind that knows most of its keys.
+func checkFile(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	entry := settings.Keys[settings.Entry](text)
+	standin := settings.Keys[deployment.Settings](text)
+	declared := settings.Keys[configuration.Configuration](text)
+	switch {
+	case declared > max(entry, standin):
+		_, err := settings.Read(path, configuration.Configuration{}, configuration.Configuration.Check)
+		return "configuration", err
+	case standin > entry:
+		_, err := settings.Read(path, deployment.Settings{}, deployment.Settings.Check)
+		return "settings of the stand-ins", err
+	default:
+		_, _, err := settings.ReadEntry(path)
+		return "settings of an entry host", err
+	}
+}
--- a/internal/process/command/command.go
+++ b/internal/process/command/command.go
@@ -79,8 +79,8 @@
 }
 
 func runStandin(ctx context.Context, path string) error {
-	var s deployment.Settings
-	if err := settings.Read(path, &s); err != nil {
+	s, err := settings.Read(path, deployment.Settings{}, deployment.Settings.Check)
+	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
@@ -94,25 +94,6 @@
 	return d.Wait()
 }
 
-func checkCommand() *cobra.Command {
-	var path string
-	c := &cobra.Command{
-		Use:   "check",
-		Short: "Check the settings file of an entry host",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			_, _, err := settings.ReadEntry(path)
-			if err == nil {
-				c.Println("ok")
-			}
-			return err
-		},
-	}
-	c.Flags().StringVar(&path, "settings", "", "settings file")
-	c.MarkFlagRequired("settings")
-	return c
-}
-
 func newLog(level string) *slog.Logger {
 	var parsed slog.Level
 	if err := parsed.UnmarshalText([]byte(level)); err != nil {
--- /dev/null
+++ b/internal/process/settings/schema.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	"encoding"
+	"net/netip"
+	"reflect"
+	"strings"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+)
+
+// schema is the type that a table or value is decoded into.
+type schema struct {
+	reflect.Type
+}
+
+func schemaOf[T any]() schema {
+	return schema{reflect.TypeFor[T]()}
+}
+
+// at follows a path such as service[0].first_token; false when there is no
+// such key.
+func (s schema) at(path string) (schema, bool) {
+	for part := range strings.SplitSeq(path, ".") {
+		name, _, _ := strings.Cut(part, "[")
+		field, ok := s.element().field(name)
+		if !ok {
+			return schema{}, false
+		}
+		s = field
+	}
+	return s, true
+}
+
+// element is the type of one table of an array of tables.
+func (s schema) element() schema {
+	if s.Kind() == reflect.Slice {
+		return schema{s.Elem()}
+	}
+	return s
+}
+
+func (s schema) field(name string) (schema, bool) {
+	if s.Kind() != reflect.Struct {
+		return schema{}, false
+	}
+	for f := range s.Fields() {
+		if strings.EqualFold(f.Tag.Get("toml"), name) {
+			return schema{f.Type}, true
+		}
+	}
+	return schema{}, false
+}
+
+// keys lists the keys of a table, in the order of their declaration.
+func (s schema) keys() []string {
+	var all []string
+	if s.Kind() != reflect.Struct {
+		return nil
+	}
+	for f := range s.Fields() {
+		if name := f.Tag.Get("toml"); name != "" && name != "-" {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+func (s schema) isDuration() bool {
+	return s.Type == reflect.TypeFor[configuration.Duration]()
+}
+
+// isText tells of a type that is read from a text.
+func (s schema) isText() bool {
+	return reflect.PointerTo(s.Type).Implements(reflect.TypeFor[encoding.TextUnmarshaler]())
+}
+
+// want says how a value of this type is written.
+func (s schema) want() string {
+	switch s.Type {
+	case reflect.TypeFor[netip.AddrPort]():
+		return `an IP number and port, such as "127.0.0.1:8080"`
+	case reflect.TypeFor[netip.Addr]():
+		return `an IP number, such as "127.0.0.1"`
+	case reflect.TypeFor[configuration.Duration]():
+		return configuration.WantDuration
+	}
+	switch s.Kind() {
+	case reflect.String:
+		return "a text in quotes"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Struct:
+		return "a table"
+	default:
+		return "a whole number"
+	}
+}
+
+// Keys counts the keys and tables of a text that T has.
+func Keys[T any](text []byte) int {
+	d, _ := parseDocument(text)
+	count := 0
+	for _, e := range d.expressions {
+		if _, ok := schemaOf[T]().at(e.key); ok {
+			count++
+		}
+	}
+	return count
+}
