--- a/cmd/dandelionlift/failure_test.go
+++ b/cmd/dandelionlift/failure_test.go
@@ -291,9 +291,13 @@
 }
 
 func (r *run) stop() {
-	for _, p := range r.processes {
-		p.Process.Kill()
-		p.Wait()
+	for host, p := range r.processes {
+		if err := p.Process.Kill(); err != nil {
+			r.t.Logf("%s: %v", host, err)
+		}
+		if err := p.Wait(); err != nil {
+			r.t.Logf("%s: %v", host, err)
+		}
 	}
 	r.relay.listener.Close()
 }
@@ -311,7 +315,8 @@
 	qt.Assert(r.t, err, qt.IsNil)
 	response, err := http.DefaultClient.Do(request)
 	qt.Assert(r.t, err, qt.IsNil)
-	io.Copy(io.Discard, response.Body)
+	_, err = io.Copy(io.Discard, response.Body)
+	qt.Check(r.t, err, qt.IsNil)
 	response.Body.Close()
 }
 
--- a/cmd/dandelionlift/relay_test.go
+++ b/cmd/dandelionlift/relay_test.go
@@ -3,6 +3,7 @@
 package main_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -81,7 +82,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				from.Close()
 			}
 			to.Close()
--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -305,12 +305,10 @@
 
 // verdict reads what one sending's answer says.
 func (r Result) verdict() verdict.Verdict {
-	switch {
-	case r.Failure == nil:
+	if r.Failure == nil {
 		return verdict.Ran
-	default:
-		return r.Failure.Verdict
 	}
+	return r.Failure.Verdict
 }
 
 // open tells that some sending may have run and none was answered whole.
