request/attempt: refuse a last frame that does not end the answer

Cause: fuzzing an engine's stream: a last frame without usage panicked the process, a negative offset was taken as an overlap, and a last frame at any offset ended a short answer as whole. Ruled out: checking in the stream reader, which does not know the answer. Change: the attempt checks usage and offset of the last frame, the answer refuses negative offsets. Conclusion: an engine that speaks wrongly fails its attempt alone.

--- /dev/null
+++ b/internal/connection/engine/stream_fuzz_test.go
@@ -0,0 +1,58 @@
+package engine_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/request/answer"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+)
+
+// body answers every request with the same bytes.
+type body []byte
+
+func (b body) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{}, Request: r, Body: io.NopCloser(bytes.NewReader(b)),
+	}, nil
+}
+
+// FuzzStream reads any bytes as an engine's answer: frames come until the end
+// or an error, and what is assembled of them never has a gap.
+func FuzzStream(f *testing.F) {
+	f.Add([]byte("data: {\"request\":\"r\",\"incarnation\":\"i\",\"offset\":0,\"tokens\":[\"a \"]}\n\ndata: {\"done\":true,\"offset\":1}\n\n"))
+	f.Add([]byte("data: {\"offset\":3,\"tokens\":[\"a\"]}\n\n"))
+	f.Add([]byte("data: {\"offset\":-1,\"tokens\":[\"a\",\"b\"]}\n\n"))
+	f.Add([]byte(": comment\n\ndata: {\"error\":\"full\"}\n\n"))
+	f.Add([]byte("data: {\"done\":true}\n\n"))
+	f.Add([]byte("event: x\r\ndata: [DONE]\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		client := engine.Client{HTTP: &http.Client{Transport: body(data)}}
+		stream, err := client.Complete(context.Background(), netip.MustParseAddrPort("127.0.0.1:1"), engine.Completion{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stream.Close()
+		assembled := answer.New()
+		for {
+			frame, err := stream.Next()
+			if err != nil {
+				return
+			}
+			before := assembled.Offset()
+			err = assembled.Add(frame.Offset, frame.Tokens)
+			after := assembled.Offset()
+			if frame.Offset > before && verdict.Of(err) == nil {
+				t.Fatalf("a gap from %d to %d was taken", before, frame.Offset)
+			}
+			if after < before {
+				t.Fatalf("offset fell from %d to %d", before, after)
+			}
+		}
+	})
+}
--- a/internal/request/answer/answer.go
+++ b/internal/request/answer/answer.go
@@ -40,7 +40,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	have := unit.Tokens(len(a.tokens))
-	if offset > have {
+	if offset < 0 || offset > have {
 		return verdict.New(verdict.MayHaveRun, verdict.AnswerGap, "")
 	}
 	overlap := have - offset
--- a/internal/request/attempt/attempt.go
+++ b/internal/request/attempt/attempt.go
@@ -50,8 +50,7 @@
 			return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "")
 		}
 		if frame.Done {
-			a.Finish(*frame.Usage)
-			return nil
+			return finish(a, frame)
 		}
 		if err := a.Add(frame.Offset, frame.Tokens); err != nil {
 			return err
@@ -59,6 +58,18 @@
 	}
 }
 
+// finish takes the last frame, which must stand right behind the last token.
+func finish(a *answer.Answer, last engine.Frame) error {
+	if last.Usage == nil {
+		return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "last frame without usage")
+	}
+	if last.Offset != a.Offset() {
+		return verdict.New(verdict.MayHaveRun, verdict.AnswerGap, "last frame is not behind the last token")
+	}
+	a.Finish(*last.Usage)
+	return nil
+}
+
 func completion(c call.Call, endpoint fleet.Endpoint, a *answer.Answer) engine.Completion {
 	ask := engine.Completion{
 		Model:        c.Service,
