route/score: leave late reports sooner and pack the active set less

Cause: with reports five to eight seconds old all hosts went where it had been quiet, and an active endpoint without work was charged as if idle, so that new ones of the active set stayed empty while others were full.

--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -55,7 +55,7 @@
 	bytesPerToken   = 6.0
 	bytesPerFrame   = 200.0
 	reportLag       = 300 * time.Millisecond
-	agingAfter      = 3 * time.Second
+	agingAfter      = 500 * time.Millisecond
 	slowStart       = 10 * time.Second
 	slowStartMillis = 400.0
 	targetShare     = 0.5
@@ -65,6 +65,7 @@
 	homeTrust       = 0.5
 	// alike is how far other hosts are taken to have sent what this one did.
 	alike            = 0.25
+	alikeInFlight    = 0.5
 	drainShare       = 0.5
 	batchPatience    = 4.0
 	millisPerSecond  = 1000.0
@@ -90,7 +91,7 @@
 		t.Wait = wait
 	}
 	if without&Price == 0 {
-		t.Price = service.CostWeight * e.price * busySeconds(running, uncached, output)
+		t.Price = service.CostWeight * e.price * busySeconds(running, uncached, output, i < c.group.active)
 	}
 	if without&Link == 0 {
 		t.Link = service.CostWeight * e.link * (float64(c.ask.PromptTokens)*bytesPerToken + output*bytesPerFrame)
@@ -107,14 +108,17 @@
 	return t
 }
 
-// busySeconds is the host time that one more request takes: it shares each
-// step with those running, and keeps an idle host from being handed back.
-func busySeconds(running, uncached, output float64) float64 {
-	seconds := (uncached/prefillPerMilli + output*(tokenMillis/(running+1)+tokenEachMillis)) / millisPerSecond
-	if running < 1 {
-		seconds += handBackSeconds * (1 - running)
-	}
-	return seconds
+// busySeconds is the host time that one more request takes. Active endpoints
+// are paid for in any case, so that there all share a step alike; beyond them a
+// request keeps an idle host from being handed back.
+func busySeconds(running, uncached, output float64, active bool) float64 {
+	hold := 0.0
+	if active {
+		running = occupancy
+	} else if running < 1 {
+		hold = handBackSeconds * (1 - running)
+	}
+	return hold + (uncached/prefillPerMilli+output*(tokenMillis/(running+1)+tokenEachMillis))/millisPerSecond
 }
 
 // target is the part of the wait beyond a share of the target, and a charge
@@ -156,7 +160,8 @@
 		return reported, backlog
 	}
 	fresh := float64(agingAfter) / float64(agingAfter+max(0, c.now.Sub(report.At)))
-	expected := c.group.load*others/(others+1) + float64(own.InFlight)
+	mine := float64(own.InFlight) * (1 + others*alikeInFlight)
+	expected := c.group.load*(1-alikeInFlight)*others/(others+1) + mine
 	return fresh*reported + (1-fresh)*expected, fresh * backlog
 }
 
