connection/keyvalue: settle ambiguous writes and bound the calls

Cause: a lost answer was told as an error and left open; every host called as often as it liked, over connections that may have gone silent. Ruled out: settling by one read (a write still on its way takes effect after it: TestOutageLateWriteIsSettled failed with that), keeping watches' connections, and a pause without jitter. Change: Settle offers the same write again under the same revision until the outcome is definite, and tells an overwritten one apart; Budget gives each host its part of half the service's rates and pauses with jitter while calls fail; a watch opens its own connection; a missed deadline closes the idle ones; answers are read to their end, so that connections are used again. Conclusion: holds against lost, late and failed answers of the stand-in.

--- a/internal/connection/keyvalue/client.go
+++ b/internal/connection/keyvalue/client.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -29,43 +31,74 @@
 	List func(ctx context.Context, prefix string) ([]Value, error)
 }
 
-// HTTP makes a Client that speaks the platform's protocol.
-func HTTP(address netip.AddrPort, client *http.Client) Client {
-	h := httpService{base: "http://" + address.String() + KeysPath, client: client}
+const (
+	// callTimeout bounds a call that does not wait for a change.
+	callTimeout = 2 * time.Second
+	// watchMargin is how much longer than its wait a watch may take before its
+	// connection counts as silent.
+	watchMargin = time.Second
+)
+
+// HTTP makes a Client that speaks the platform's protocol over transport.
+func HTTP(address netip.AddrPort, transport *http.Transport) Client {
+	watches := transport.Clone()
+	watches.DisableKeepAlives = true
+	h := httpService{
+		base:    "http://" + address.String() + KeysPath,
+		calls:   &http.Client{Transport: transport},
+		watches: &http.Client{Transport: watches},
+	}
 	return Client{Get: h.get, Put: h.put, Watch: h.watch, List: h.list}
 }
 
 type httpService struct {
-	base   string
-	client *http.Client
+	base  string
+	calls *http.Client
+	// watches opens a connection for each call.
+	watches *http.Client
+}
+
+// limited bounds a call; the returned end closes idle connections if the bound
+// was reached, because they may be as silent.
+func (h httpService) limited(ctx context.Context, limit time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	return ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			h.calls.CloseIdleConnections()
+		}
+		cancel()
+	}
 }
 
 func (h httpService) get(ctx context.Context, key string) (Value, error) {
-	return h.read(ctx, h.base+"/"+key)
+	ctx, end := h.limited(ctx, callTimeout)
+	defer end()
+	return h.read(ctx, h.calls, h.base+"/"+key)
 }
 
 func (h httpService) watch(ctx context.Context, key string, after Revision, wait time.Duration) (Value, error) {
 	query := url.Values{}
 	query.Set("after", strconv.FormatUint(uint64(after), 10))
 	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
-	return h.read(ctx, h.base+"/"+key+"?"+query.Encode())
+	ctx, end := h.limited(ctx, wait+watchMargin)
+	defer end()
+	return h.read(ctx, h.watches, h.base+"/"+key+"?"+query.Encode())
 }
 
-func (h httpService) read(ctx context.Context, target string) (Value, error) {
+func (h httpService) read(ctx context.Context, client *http.Client, target string) (Value, error) {
 	var value Value
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return value, err
 	}
-	response, err := h.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return value, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	defer response.Body.Close()
+	defer finish(response)
 	switch response.StatusCode {
 	case http.StatusOK:
-		err = json.NewDecoder(response.Body).Decode(&value)
-		return value, err
+		return value, decode(response, &value)
 	case http.StatusNotModified:
 		return value, nil
 	case http.StatusNotFound:
@@ -76,21 +109,37 @@
 }
 
 func (h httpService) list(ctx context.Context, prefix string) ([]Value, error) {
+	ctx, end := h.limited(ctx, callTimeout)
+	defer end()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+"?prefix="+url.QueryEscape(prefix), nil)
 	if err != nil {
 		return nil, err
 	}
-	response, err := h.client.Do(request)
+	response, err := h.calls.Do(request)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	defer response.Body.Close()
+	defer finish(response)
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
 	}
 	var values []Value
-	err = json.NewDecoder(response.Body).Decode(&values)
-	return values, err
+	return values, decode(response, &values)
+}
+
+// finish reads what is left of an answer, so that its connection can be used
+// again.
+func finish(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, MaxValueBytes))
+	response.Body.Close()
+}
+
+// decode reads an answer; one that was cut is as good as none.
+func decode[T any](response *http.Response, out *T) error {
+	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return nil
 }
 
 // put sends the write on a connection that net/http cannot replay it on.
@@ -100,6 +149,8 @@
 	if err != nil {
 		return value, err
 	}
+	ctx, end := h.limited(ctx, callTimeout)
+	defer end()
 	connected := new(atomic.Bool)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -109,14 +160,14 @@
 		return value, err
 	}
 	request.GetBody = nil
-	response, err := h.client.Do(request)
+	response, err := h.calls.Do(request)
 	if err != nil && connected.Load() {
 		return value, fmt.Errorf("%w: %w", ErrAmbiguous, err)
 	}
 	if err != nil {
 		return value, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	defer response.Body.Close()
+	defer finish(response)
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusConflict:
 	case http.StatusServiceUnavailable:
--- /dev/null
+++ b/internal/connection/keyvalue/client_test.go
@@ -0,0 +1,205 @@
+package keyvalue_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	standin "github.com/dandelionlift/dandelionlift/internal/standin/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/standin/network"
+)
+
+var (
+	serviceAddress = netip.MustParseAddrPort("10.9.0.1:7001")
+	hostAddress    = netip.MustParseAddr("10.0.0.1")
+)
+
+// platform is the service on an in-memory network.
+type platform struct {
+	network *network.Network
+	service *standin.Service
+	server  *http.Server
+	group   errgroup.Group
+	clients []*http.Transport
+	dials   atomic.Int64
+}
+
+func newPlatform() *platform {
+	p := &platform{network: network.New(), service: standin.New()}
+	p.server = &http.Server{Handler: p.service.Handler()}
+	l := p.network.Listen(serviceAddress)
+	p.group.Go(func() error { return p.server.Serve(l) })
+	return p
+}
+
+func (p *platform) client() keyvalue.Client {
+	dial := p.network.Dial(hostAddress)
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		p.dials.Add(1)
+		return dial(ctx, network, address)
+	}}
+	p.clients = append(p.clients, transport)
+	return keyvalue.HTTP(serviceAddress, transport)
+}
+
+func (p *platform) stop() {
+	for _, c := range p.clients {
+		c.CloseIdleConnections()
+	}
+	p.server.Close()
+	_ = p.group.Wait()
+	time.Sleep(time.Minute) // Late writes end.
+}
+
+func TestOutageLostAnswerIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		defer p.stop()
+		kv := p.client()
+		p.service.SetFaults(standin.Faults{LoseAnswerEvery: 1})
+		_, err := kv.Put(t.Context(), "k", keyvalue.Put{Data: []byte("a"), Writer: "plain"})
+		qt.Assert(t, errors.Is(err, keyvalue.ErrAmbiguous), qt.IsTrue)
+		first, err := kv.Get(t.Context(), "k")
+		qt.Assert(t, err, qt.IsNil)
+		second, err := kv.Settle(t.Context(), "k", keyvalue.Put{Data: []byte("b"), IfRevision: first.Revision})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, second.Revision, qt.Equals, first.Revision+1)
+		_, err = kv.Settle(t.Context(), "k", keyvalue.Put{Delete: true, IfRevision: second.Revision})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = kv.Get(t.Context(), "k")
+		qt.Assert(t, errors.Is(err, keyvalue.ErrAbsent), qt.IsTrue)
+	})
+}
+
+// A write that is still on its way when its caller gives up must not take
+// effect after Settle has answered.
+func TestOutageLateWriteIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		defer p.stop()
+		kv := p.client()
+		p.service.SetFaults(standin.Faults{LateMillis: 5000})
+		time.AfterFunc(3*time.Second, func() { p.service.SetFaults(standin.Faults{}) })
+		settled, err := kv.Settle(t.Context(), "k", keyvalue.Put{Data: []byte("mine")})
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(time.Minute)
+		present, err := kv.Get(t.Context(), "k")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, present.Revision, qt.Equals, settled.Revision)
+	})
+}
+
+func TestOutageOverwrittenWriteIsNotCalledFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		defer p.stop()
+		kv := p.client()
+		p.service.SetFaults(standin.Faults{LoseAnswerEvery: 1})
+		other := p.client()
+		var group errgroup.Group
+		group.Go(func() error {
+			time.Sleep(time.Millisecond)
+			mine, err := other.Get(t.Context(), "k")
+			if err != nil {
+				return err
+			}
+			_, err = other.Settle(t.Context(), "k", keyvalue.Put{Data: []byte("other"), IfRevision: mine.Revision})
+			return err
+		})
+		present, err := kv.Settle(t.Context(), "k", keyvalue.Put{Data: []byte("mine")})
+		qt.Assert(t, group.Wait(), qt.IsNil)
+		qt.Assert(t, errors.Is(err, keyvalue.ErrOverwritten), qt.IsTrue)
+		qt.Assert(t, string(present.Data), qt.Equals, "other")
+	})
+}
+
+func TestOutageDownServiceWritesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		defer p.stop()
+		kv := p.client()
+		p.service.SetFaults(standin.Faults{Down: true})
+		_, err := kv.Settle(t.Context(), "k", keyvalue.Put{})
+		qt.Assert(t, errors.Is(err, keyvalue.ErrUnavailable), qt.IsTrue)
+		qt.Assert(t, errors.Is(err, keyvalue.ErrAmbiguous), qt.IsFalse)
+	})
+}
+
+// Connections that went silent stay so; the next call uses a new one.
+func TestOutageSilentConnectionsAreLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		defer p.stop()
+		kv := p.client()
+		p.service.SetFaults(standin.Faults{DelayMillis: 10})
+		both(func() error { return read(kv) })
+		p.network.SetRule(func(from, _ netip.Addr) network.Path { return network.Path{Lost: from == serviceAddress.Addr()} })
+		began := time.Now()
+		both(func() error { return read(kv) })
+		qt.Assert(t, time.Since(began) < 9*time.Second, qt.IsTrue)
+		both(func() error { return read(kv) })
+		p.network.SetRule(nil)
+		qt.Assert(t, read(kv), qt.IsNil)
+	})
+}
+
+// A connection that the last call did not use may be silent too.
+func TestOutageIdleConnectionsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		defer p.stop()
+		kv := p.client()
+		p.service.SetFaults(standin.Faults{DelayMillis: 10})
+		both(func() error { return read(kv) })
+		dialled := p.dials.Load()
+		p.network.SetRule(func(from, _ netip.Addr) network.Path { return network.Path{Lost: from == serviceAddress.Addr()} })
+		qt.Assert(t, read(kv), qt.IsNotNil)
+		p.network.SetRule(nil)
+		qt.Assert(t, read(kv), qt.IsNil)
+		qt.Assert(t, p.dials.Load(), qt.Not(qt.Equals), dialled)
+	})
+}
+
+func TestOutageEachWatchOpensAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		defer p.stop()
+		kv := p.client()
+		for range 3 {
+			_, err := kv.Watch(t.Context(), "k", 0, time.Second)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Assert(t, p.dials.Load(), qt.Equals, int64(3))
+		p.network.SetRule(func(from, _ netip.Addr) network.Path { return network.Path{Lost: from == serviceAddress.Addr()} })
+		began := time.Now()
+		_, err := kv.Watch(t.Context(), "k", 0, 3*time.Second)
+		qt.Assert(t, errors.Is(err, keyvalue.ErrUnavailable), qt.IsTrue)
+		qt.Assert(t, time.Since(began) < 9*time.Second, qt.IsTrue)
+	})
+}
+
+func read(kv keyvalue.Client) error {
+	_, err := kv.Get(context.Background(), "k")
+	if errors.Is(err, keyvalue.ErrAbsent) {
+		return nil
+	}
+	return err
+}
+
+// both makes two calls at once, so that two connections lie idle.
+func both(call func() error) {
+	var group errgroup.Group
+	group.Go(call)
+	group.Go(call)
+	_ = group.Wait()
+}
--- a/internal/connection/keyvalue/message.go
+++ b/internal/connection/keyvalue/message.go
@@ -2,9 +2,15 @@
 //
 // # Ambiguous answers
 //
-// A write whose answer was lost may have taken effect. Swap reports that as
-// ErrAmbiguous and never guesses; Settle reads the key back and compares the
-// writer token that every written value carries.
+// A write whose answer was lost may have taken effect, now or later. Put reports
+// that as ErrAmbiguous and never guesses; Settle offers the same write again and
+// compares the writer token that every written value carries.
+//
+// # Silent connections
+//
+// A watch is bounded, and each opens a connection of its own. Another call that
+// misses its deadline closes the connections that lie idle, so that the next
+// one opens a new one.
 //
 // # The protocol
 //
@@ -56,6 +62,9 @@
 	ErrConflict = errors.New("keyvalue: conflict")
 	// ErrAmbiguous tells that the write may or may not have happened.
 	ErrAmbiguous = errors.New("keyvalue: ambiguous")
+	// ErrOverwritten tells that another write is in force, and that ours may
+	// have been before it.
+	ErrOverwritten = errors.New("keyvalue: overwritten")
 	// ErrUnavailable tells that the service was not reached; nothing was written.
 	ErrUnavailable = errors.New("keyvalue: unavailable")
 	// ErrBudget tells that this host has used up its share of calls.
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -28,7 +28,7 @@
 	group.Go(func() error { return server.Serve(l) })
 	return func() {
 		server.Close()
-		group.Wait()
+		_ = group.Wait()
 	}
 }
 
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -52,7 +52,7 @@
 		fx.StartTimeout(startTimeout),
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
-			peer.NewRouter, newMembers,
+			peer.NewRouter, newMembers, newBudget,
 		),
 		fx.Invoke(runControl, runPeers, runFront),
 	)
@@ -79,12 +79,12 @@
 	Engine   engine.Client
 }
 
-func newClients(s settings.Entry) clients {
+func newClients(s settings.Entry, budget *keyvalue.Budget) clients {
 	platform := &http.Client{Transport: &http.Transport{}}
 	endpoints := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}
 	return clients{
 		Cloud:    cloud.HTTP(s.Platform.Cloud, platform),
-		KeyValue: keyvalue.HTTP(s.Platform.KeyValue, platform),
+		KeyValue: budget.Limit(keyvalue.HTTP(s.Platform.KeyValue, platformTransport())),
 		Engine:   engine.Client{HTTP: endpoints},
 	}
 }
--- a/internal/process/journal/propose_test.go
+++ b/internal/process/journal/propose_test.go
@@ -34,10 +34,10 @@
 	l := n.Listen(serviceAddress)
 	group.Go(func() error { return server.Serve(l) })
 	transport := &http.Transport{DialContext: n.Dial(hostAddress)}
-	return keyvalue.HTTP(serviceAddress, &http.Client{Transport: transport}), func() {
+	return keyvalue.HTTP(serviceAddress, transport), func() {
 		transport.CloseIdleConnections()
 		server.Close()
-		group.Wait()
+		_ = group.Wait()
 	}
 }
 
--- a/internal/process/member/members_test.go
+++ b/internal/process/member/members_test.go
@@ -73,7 +73,7 @@
 func (h *host) stop() {
 	h.cancel()
 	h.server.Close()
-	h.group.Wait()
+	_ = h.group.Wait()
 }
 
 func (f *fleet) stop() {
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -28,6 +28,9 @@
 	DelayMillis int64 `json:"delay_ms"`
 	// LoseAnswerEvery cuts the connection after every n-th write took effect.
 	LoseAnswerEvery int `json:"lose_answer_every"`
+	// LateMillis holds each write on its way for as long, also when the caller
+	// has given up by then.
+	LateMillis int64 `json:"late_ms"`
 }
 
 // Counts tells what the service was asked; a waiting watch counts as a read.
@@ -203,6 +206,7 @@
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
 	}
+	s.hold()
 	key := strings.TrimPrefix(r.URL.Path, wire.KeysPath+"/")
 	value, swapped, lose := s.swap(key, put)
 	if lose {
@@ -215,6 +219,16 @@
 	reply(w, status, value)
 }
 
+// hold keeps a write on its way.
+func (s *Service) hold() {
+	s.mu.Lock()
+	late := time.Duration(s.faults.LateMillis) * time.Millisecond
+	s.mu.Unlock()
+	if late > 0 {
+		time.Sleep(late)
+	}
+}
+
 // swap carries out a put and tells whether its answer is to be lost.
 func (s *Service) swap(key string, put wire.Put) (value wire.Value, swapped, lose bool) {
 	s.mu.Lock()
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -17,6 +17,9 @@
 	"time"
 )
 
+// connectTimeout is when an unanswered dial gives up by itself.
+const connectTimeout = 5 * time.Second
+
 // Path is what one direction between two addresses does.
 type Path struct {
 	// Lost drops bytes, Delay is waited by those that pass.
@@ -85,6 +88,8 @@
 		}
 		out, back := n.path(from, to.Addr(), 0), n.path(to.Addr(), from, 0)
 		if out.Lost || back.Lost {
+			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
