--- a/internal/process/command/ask.go
+++ b/internal/process/command/ask.go
@@ -23,7 +23,7 @@
 const (
 	// askTries bounds how often a line is sent when its outcome is unknown.
 	askTries   = 3
-	askPause   = time.Second
+	askPause   = 200 * time.Millisecond
 	askTimeout = 15 * time.Second
 )
 
--- /dev/null
+++ b/internal/process/command/ask_test.go
@@ -0,0 +1,108 @@
+package command_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/command"
+	"github.com/dandelionlift/dandelionlift/internal/process/operator"
+)
+
+// host answers each Ask by a function.
+func host(t *testing.T, answer func(operator.Ask) operator.Table) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var ask operator.Ask
+		quicktest.Check(t, json.NewDecoder(r.Body).Decode(&ask), quicktest.IsNil)
+		quicktest.Check(t, r.Header.Get("Authorization"), quicktest.Equals, "Bearer secret")
+		json.NewEncoder(w).Encode(answer(ask))
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func run(input, target string, args ...string) (string, string, int) {
+	root := command.Root()
+	var out, errOut bytes.Buffer
+	root.SetOut(&out)
+	root.SetErr(&errOut)
+	root.SetIn(strings.NewReader(input))
+	root.SetArgs(append([]string{"ask", "--token", "secret", "--target", target}, args...))
+	err := root.Execute()
+	if err != nil {
+		errOut.WriteString(err.Error())
+	}
+	return out.String(), errOut.String(), command.Status(err)
+}
+
+func TestCommandLineAskPrintsTablesAndJSON(t *testing.T) {
+	c := quicktest.New(t)
+	var asked []operator.Ask
+	target := host(t, func(a operator.Ask) operator.Table {
+		asked = append(asked, a)
+		return operator.Table{Columns: []string{"zone", "x"}, Rows: [][]string{{"levant-a", "1"}}, Note: "one zone"}
+	})
+	out, _, status := run("", target, "show prices")
+	c.Assert(status, quicktest.Equals, 0)
+	c.Assert(out, quicktest.Equals, "zone      x\nlevant-a  1\none zone\n")
+	out, _, status = run("", target, "--json", "--dry-run", "--command", "c1", "move s from a to b")
+	c.Assert(status, quicktest.Equals, 0)
+	c.Assert(out, quicktest.Equals, `{"columns":["zone","x"],"rows":[["levant-a","1"]],"note":"one zone"}`+"\n")
+	c.Assert(asked[1], quicktest.Equals, operator.Ask{Command: "c1", Line: "move s from a to b", DryRun: true})
+}
+
+func TestCommandLineAskReadsStandardInputAndGivesTheWorstStatus(t *testing.T) {
+	c := quicktest.New(t)
+	var ids []string
+	target := host(t, func(a operator.Ask) operator.Table {
+		ids = append(ids, string(a.Command))
+		switch a.Line {
+		case "bad":
+			return operator.Table{Error: "no"}
+		case "late":
+			return operator.Table{Error: "at odds", Conflict: &operator.Conflict{Version: 3}}
+		default:
+			return operator.Table{Note: a.Line}
+		}
+	})
+	out, errOut, status := run("a\n\nbad\nlate\nb\n", target, "--command", "night")
+	c.Assert(out, quicktest.Equals, "a\nb\n")
+	c.Assert(errOut, quicktest.Equals, "line 3: no\nline 4: at odds\nnot every line was carried out")
+	c.Assert(status, quicktest.Equals, 3)
+	c.Assert(ids, quicktest.DeepEquals, []string{"night-1", "night-3", "night-4", "night-5"})
+	_, _, status = run("", target, "bad")
+	c.Assert(status, quicktest.Equals, 1)
+	out, _, status = run("", target, "--json", "late")
+	c.Assert(out, quicktest.Contains, `"conflict":{"version":3`)
+	c.Assert(status, quicktest.Equals, 3)
+}
+
+func TestCommandLineAskRepeatsUnderOneIDWhileTheOutcomeIsUnknown(t *testing.T) {
+	c := quicktest.New(t)
+	var ids []string
+	target := host(t, func(a operator.Ask) operator.Table {
+		ids = append(ids, string(a.Command))
+		switch len(ids) {
+		case 1:
+			panic(http.ErrAbortHandler)
+		case 2:
+			return operator.Table{Error: "not known", OutcomeUnknown: true}
+		default:
+			return operator.Table{Note: "accepted as version 2"}
+		}
+	})
+	out, _, status := run("", target, "set service s retry_share = 0.1")
+	c.Assert(status, quicktest.Equals, 0)
+	c.Assert(out, quicktest.Equals, "accepted as version 2\n")
+	c.Assert(ids, quicktest.DeepEquals, []string{ids[0], ids[0], ids[0]})
+
+	gone := host(t, func(operator.Ask) operator.Table { panic(http.ErrAbortHandler) })
+	_, errOut, status := run("", gone, "--command", "c9", "show work")
+	c.Assert(status, quicktest.Equals, 2)
+	c.Assert(errOut, quicktest.Matches, ".*repeat with --command c9")
+}
