request/attempt: let the tests of wrong frames reach the attempt

They named an endpoint without an address, so every case ended as bad_request before a frame was read, and TestResumeRefusesWrongFrames failed. Ruled out: a fault in the attempt itself. Change: the endpoint has an address.

--- a/internal/request/attempt/attempt_fuzz_test.go
+++ b/internal/request/attempt/attempt_fuzz_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		client := engine.Client{HTTP: &http.Client{Transport: body(data)}}
 		a := answer.New()
-		endpoint := fleet.Endpoint{Incarnation: "i"}
+		endpoint := fleet.Endpoint{Incarnation: "i", Address: netip.MustParseAddrPort("127.0.0.1:1")}
 		silence := attempt.Silence{FirstToken: time.Minute, Between: time.Minute}
 		err := attempt.Run(context.Background(), client, call.Call{Request: "r"}, endpoint, a, silence)
 		if err != nil {
--- a/internal/request/attempt/attempt_test.go
+++ b/internal/request/attempt/attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 			client := engine.Client{HTTP: &http.Client{Transport: body(test.stream + "\n\n")}}
 			a := answer.New()
 			silence := attempt.Silence{FirstToken: time.Minute, Between: time.Minute}
-			err := attempt.Run(context.Background(), client, call.Call{Request: "r"}, fleet.Endpoint{Incarnation: "i"}, a, silence)
+			err := attempt.Run(context.Background(), client, call.Call{Request: "r"}, fleet.Endpoint{Incarnation: "i", Address: netip.MustParseAddrPort("127.0.0.1:1")}, a, silence)
 			c.Assert(err, qt.Not(qt.IsNil))
 			c.Check(verdict.Of(err).Reason, qt.Equals, test.want)
 			c.Check(a.Text(), qt.Equals, "")
