route/score: trust a home by 0.8 and its second by 0.4; all active before reports

Cause: under gaps the index denies what a home holds; and a host that has no report yet took one endpoint for the whole active set. Change: guesses for both homes, activation without reports, target from 0.75.

--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -140,8 +140,8 @@
 	}
 	key := uint64(c.ask.Blocks[min(keyBlocks, len(c.ask.Blocks))-1])
 	first, second := c.group.rendezvous(key)
-	c.add(first, true)
-	c.add(second, false)
+	c.add(first, homeTrust)
+	c.add(second, secondTrust)
 }
 
 func (c *chooser) holder() {
@@ -153,20 +153,20 @@
 		return
 	}
 	if i, ok := c.group.byIncarnation[incarnation]; ok {
-		c.add(i, false)
+		c.add(i, 0)
 	}
 }
 
 // draw adds two active endpoints, one in the host's own zone, and one beyond.
 func (c *chooser) draw(random *rand.Rand) {
 	g := c.group
-	c.add(random.IntN(g.active), false)
-	c.add(random.IntN(g.active), false)
+	c.add(random.IntN(g.active), 0)
+	c.add(random.IntN(g.active), 0)
 	if len(g.near) > 0 {
-		c.add(g.near[random.IntN(len(g.near))], false)
+		c.add(g.near[random.IntN(len(g.near))], 0)
 	}
 	if beyond := len(g.entries) - g.active; beyond > 0 {
-		c.add(g.active+random.IntN(min(beyond, spillFrom)), false)
+		c.add(g.active+random.IntN(min(beyond, spillFrom)), 0)
 	}
 }
 
@@ -178,12 +178,12 @@
 	n := len(c.group.entries)
 	start := random.IntN(n)
 	for i := 0; i < n && c.decision.Count == 0; i++ {
-		c.add((start+i)%n, false)
+		c.add((start+i)%n, 0)
 	}
 }
 
 // add scores an entry unless it was tried or is a candidate already.
-func (c *chooser) add(i int, home bool) {
+func (c *chooser) add(i int, guess float64) {
 	if i < 0 || c.decision.Count == mostCandidates {
 		return
 	}
@@ -197,7 +197,7 @@
 	if tried(c.ask.Tried, c.table.snapshot.Endpoints[e.index].Incarnation) {
 		return
 	}
-	d.Candidates[d.Count] = Candidate{Index: e.index, Terms: c.score(i, home)}
+	d.Candidates[d.Count] = Candidate{Index: e.index, Terms: c.score(i, guess)}
 	d.Count++
 }
 
--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -58,11 +58,12 @@
 	agingAfter      = 500 * time.Millisecond
 	slowStart       = 10 * time.Second
 	slowStartMillis = 400.0
-	targetShare     = 0.5
+	targetShare  = 0.75
 	overTarget      = 4.0
 	overBoundMillis = 150.0
 	answerShare     = 0.5
-	homeTrust       = 0.5
+	homeTrust       = 0.8
+	secondTrust     = 0.4
 	// alike is how far other hosts are taken to have sent what this one did.
 	alike            = 0.25
 	alikeInFlight    = 0.5
@@ -72,12 +73,13 @@
 	boundedLoadRatio = 1.25
 )
 
-// score rates the entry at i; home tells that it is the prompt's first home.
-func (c *chooser) score(i int, home bool) Terms {
+// score rates the entry at i; guess is the share of the prompt that it is
+// taken to hold whatever events say.
+func (c *chooser) score(i int, guess float64) Terms {
 	e := &c.group.entries[i]
 	endpoint := &c.table.snapshot.Endpoints[e.index]
 	running, backlog := c.load(endpoint)
-	uncached := float64(c.ask.PromptTokens - c.cached(endpoint, home))
+	uncached := float64(c.ask.PromptTokens - c.cached(endpoint, guess))
 	output := float64(c.ask.MaxTokens) * answerShare
 	service := &c.group.service
 	without := c.know.Without
@@ -166,16 +168,13 @@
 }
 
 // cached estimates the leading prompt tokens that an endpoint holds.
-func (c *chooser) cached(endpoint *fleet.Endpoint, home bool) unit.Tokens {
-	guess := 0.0
-	if home {
-		guess = homeTrust * float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
-	}
+func (c *chooser) cached(endpoint *fleet.Endpoint, guess float64) unit.Tokens {
+	guessed := guess * float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
 	if c.know.Cached == nil || len(c.ask.Blocks) == 0 {
-		return unit.Tokens(guess)
+		return unit.Tokens(guessed)
 	}
 	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
-	return unit.Tokens(max(guess, trust*float64(held)))
+	return unit.Tokens(max(guessed, trust*float64(held)))
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -145,18 +145,21 @@
 )
 
 // activate counts the entries that the load needs and those whose cache is
-// worth their price.
+// worth their price; all of them while nothing was reported.
 func (g *group) activate(s *fleet.Snapshot) {
-	worth := 0
+	worth, reports := 0, 0
 	for i, e := range g.entries {
 		load := s.Endpoints[e.index].Load
+		if !load.At.IsZero() {
+			reports++
+		}
 		held := g.service.RecomputeWeight * float64(load.CacheCapacity) * reuseHourly
 		if held > g.service.CostWeight*e.price*time.Hour.Seconds() {
 			worth = i + 1
 		}
 	}
 	needed := int(math.Ceil(g.demand*(1+headroom)/occupancy)) + 1
-	if g.service.Kind == configuration.Plain {
+	if g.service.Kind == configuration.Plain || reports == 0 {
 		needed = len(g.entries)
 	}
 	g.active = min(len(g.entries), max(needed, worth))
