route/score: let price fade where every active endpoint is needed

Cause: under the wave all endpoints are active and paid for, but price still held work back from the dear ones, so that the cheap ones were over the target. Change: the price term of active endpoints falls to zero at 1.5 times the occupancy; the occupancy is 12.

--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -58,10 +58,11 @@
 	agingAfter      = 500 * time.Millisecond
 	slowStart       = 10 * time.Second
 	slowStartMillis = 400.0
-	targetShare  = 0.75
+	targetShare     = 0.75
 	overTarget      = 4.0
 	overBoundMillis = 150.0
 	answerShare     = 0.5
+	fullOccupancy   = 1.5
 	homeTrust       = 0.8
 	secondTrust     = 0.4
 	// alike is how far other hosts are taken to have sent what this one did.
@@ -94,6 +95,9 @@
 	}
 	if without&Price == 0 {
 		t.Price = service.CostWeight * e.price * busySeconds(running, uncached, output, i < c.group.active)
+		if i < c.group.active {
+			t.Price *= max(0, 1-c.group.load/(fullOccupancy*occupancy))
+		}
 	}
 	if without&Link == 0 {
 		t.Link = service.CostWeight * e.link * (float64(c.ask.PromptTokens)*bytesPerToken + output*bytesPerFrame)
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -135,7 +135,7 @@
 
 const (
 	// occupancy is how many requests an active endpoint should have.
-	occupancy = 7.0
+	occupancy = 12.0
 	// headroom is the share of active endpoints above what the load needs.
 	headroom = 0.25
 	// demandFall is the time constant with which demand falls.
