--- a/internal/process/prefix/prefix.go
+++ b/internal/process/prefix/prefix.go
@@ -4,8 +4,8 @@
 //
 // Engines publish what they store and evict, late and with gaps. Apply takes
 // the events of one incarnation in order. After a jump in the sequence some of
-// what is remembered is wrong: trust in that incarnation falls, and rises again
-// with each event that comes in order, or at once with Resync.
+// what is remembered is wrong: trust in that incarnation falls until Resync
+// replaces it by all that the engine holds.
 //
 // # Size
 //
@@ -26,8 +26,8 @@
 	mostBlocks = 1 << 16
 	// gapTrust is the factor on trust after a gap.
 	gapTrust = 0.5
-	// regain is the share of lost trust that an event in order gives back.
-	regain = 0.002
+	// leastTrust is what gaps leave of it.
+	leastTrust = 0.25
 )
 
 // Index is safe for use by several goroutines. Make one with New.
@@ -66,10 +66,9 @@
 			continue
 		}
 		if event.Sequence != h.sequence+1 {
-			h.trust *= gapTrust
+			h.trust = max(leastTrust, h.trust*gapTrust)
 		}
 		h.sequence = event.Sequence
-		h.trust += regain * (1 - h.trust)
 		x.apply(of, h, event)
 	}
 }
--- a/internal/version/route/baseline_test.go
+++ b/internal/version/route/baseline_test.go
@@ -19,6 +19,7 @@
 type policy struct {
 	choose      func(h *fakeHost, r *request) int
 	finished    func(h *fakeHost, r *request, endpoint int)
+	resync      func(h *fakeHost, of identity.Incarnation, sequence uint64, blocks []engine.Block)
 	cacheEvents func(h *fakeHost, endpoint int, incarnation identity.Incarnation, events []engine.CacheEvent)
 }
 
@@ -61,6 +62,9 @@
 		cacheEvents: func(h *fakeHost, _ int, of identity.Incarnation, events []engine.CacheEvent) {
 			indexes[h.index].Apply(of, events)
 		},
+		resync: func(h *fakeHost, of identity.Incarnation, sequence uint64, blocks []engine.Block) {
+			indexes[h.index].Resync(of, sequence, blocks)
+		},
 	}
 }
 
--- a/internal/version/route/policy_test.go
+++ b/internal/version/route/policy_test.go
@@ -34,6 +34,7 @@
 	stepEach      = time.Millisecond
 	batchSize     = 24
 	cacheBlocks   = 1875
+	resyncEvery   = 10 * time.Second
 	reportLag     = 300 * time.Millisecond
 	pollEvery     = time.Second
 	callerLatency = 3 * time.Millisecond
@@ -343,6 +344,7 @@
 	turn        int
 	random      *rand.Rand
 	seenEvents  []uint64
+	resyncAt    []time.Duration
 	reports     []fleet.Load
 }
 
@@ -361,6 +363,7 @@
 		}
 		if s.policy.cacheEvents == nil || (s.fault == "gaps" && h.random.Float64() < 0.3) {
 			h.seenEvents[i] = e.sequence
+			s.resync(h, i)
 			continue
 		}
 		from := len(e.log) - int(e.sequence-min(e.sequence, h.seenEvents[i]))
@@ -373,6 +376,22 @@
 	s.at(s.now+every, func() { s.poll(h) })
 }
 
+// resync reads all that an engine holds, seldom, some time after a gap.
+func (s *sim) resync(h *fakeHost, i int) {
+	if s.policy.resync == nil || s.now < h.resyncAt[i] {
+		return
+	}
+	h.resyncAt[i] = s.now + resyncEvery
+	s.at(s.now+resyncEvery/2, func() {
+		e := s.engines[i]
+		var blocks []engine.Block
+		for b := range e.cached {
+			blocks = append(blocks, b)
+		}
+		s.policy.resync(h, e.endpoint.Incarnation, e.sequence, blocks)
+	})
+}
+
 // look rebuilds a host's snapshot; who is leaving is known at once.
 func (s *sim) look(h *fakeHost) {
 	list := make([]fleet.Endpoint, 0, len(s.engines))
@@ -526,7 +545,7 @@
 	}
 	for i := range w.hosts {
 		s.hosts = append(s.hosts, &fakeHost{
-			index: i, region: w.regions[i%3], outstanding: make([]int, w.endpoints), seenEvents: make([]uint64, w.endpoints),
+			index: i, region: w.regions[i%3], outstanding: make([]int, w.endpoints), seenEvents: make([]uint64, w.endpoints), resyncAt: make([]time.Duration, w.endpoints),
 			reports: make([]fleet.Load, w.endpoints), random: rand.New(rand.NewPCG(seed(), uint64(100+i))),
 		})
 	}
--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -141,7 +141,16 @@
 	key := uint64(c.ask.Blocks[min(keyBlocks, len(c.ask.Blocks))-1])
 	first, second := c.group.rendezvous(key)
 	c.add(first, homeTrust)
-	c.add(second, secondTrust)
+	c.add(second, secondTrust*c.trust(second))
+}
+
+// trust tells how far what is known of an entry's cache can be trusted.
+func (c *chooser) trust(i int) float64 {
+	if i < 0 || c.know.Cached == nil {
+		return 0
+	}
+	_, trust := c.know.Cached(c.table.snapshot.Endpoints[c.group.entries[i].index].Incarnation, nil)
+	return trust
 }
 
 func (c *chooser) holder() {
--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -64,7 +64,8 @@
 	answerShare     = 0.5
 	fullOccupancy   = 1.5
 	homeTrust       = 0.8
-	secondTrust     = 0.4
+	secondTrust     = 0.7
+	evictShare      = 0.5
 	// alike is how far other hosts are taken to have sent what this one did.
 	alike            = 0.25
 	alikeInFlight    = 0.5
@@ -103,7 +104,7 @@
 		t.Link = service.CostWeight * e.link * (float64(c.ask.PromptTokens)*bytesPerToken + output*bytesPerFrame)
 	}
 	if without&Recompute == 0 {
-		t.Recompute = service.RecomputeWeight * uncached
+		t.Recompute = service.RecomputeWeight * (uncached + c.evicted(endpoint))
 	}
 	if without&Target == 0 {
 		t.Target = c.target(wait, running)
@@ -181,4 +182,16 @@
 	return unit.Tokens(max(guessed, trust*float64(held)))
 }
 
+// evicted estimates how many tokens that others need would be lost by storing
+// the prompt: the fuller the cache, the more of them.
+func (c *chooser) evicted(endpoint *fleet.Endpoint) float64 {
+	report := &endpoint.Load
+	if report.CacheCapacity == 0 || c.know.Cached == nil || len(c.ask.Blocks) == 0 {
+		return 0
+	}
+	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
+	stored := trust * trust * float64(c.ask.PromptTokens-held)
+	return evictShare * stored * float64(report.CachedTokens) / float64(report.CacheCapacity)
+}
+
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
