--- a/internal/process/operator/command.go
+++ b/internal/process/operator/command.go
@@ -189,18 +189,20 @@
 	}
 }
 
-// atOdds finds who came first in the audit trail.
+// atOdds finds who came first in the audit trail. Where that can't be read, the
+// operator repeats and learns it then.
 func (o Operator) atOdds(ctx context.Context, first *odds) Table {
+	if o.History == nil {
+		return Table{Error: "refused: " + first.problem, Conflict: &Conflict{}}
+	}
+	entries, err := o.History(ctx)
+	if err != nil {
+		return Table{Error: fmt.Sprintf("refused: %s; by whom is not known: %v", first.problem, err), OutcomeUnknown: true}
+	}
 	found := Conflict{Version: o.Snapshot().Configuration.Version}
-	if o.History != nil {
-		entries, err := o.History(ctx)
-		if err != nil {
-			entries = nil
-		}
-		for _, e := range entries {
-			if first.by(e) {
-				found = Conflict{Version: e.Version, Operator: e.Operator, At: e.At, Line: e.Line}
-			}
+	for _, e := range entries {
+		if first.by(e) {
+			found = Conflict{Version: e.Version, Operator: e.Operator, At: e.At, Line: e.Line}
 		}
 	}
 	return Table{Error: "refused: " + first.problem + "; " + found.Error(), Conflict: &found}
