--- a/internal/process/operator/history_test.go
+++ b/internal/process/operator/history_test.go
@@ -177,7 +177,7 @@
 		connect := func(address netip.Addr) keyvalue.Client {
 			transport := &http.Transport{DialContext: n.Dial(address)}
 			transports = append(transports, transport)
-			return keyvalue.HTTP(service, &http.Client{Transport: transport})
+			return keyvalue.HTTP(service, transport)
 		}
 		bootstrapped(t, connect(netip.MustParseAddr("10.0.0.99")))
 		store.SetFaults(standin.Faults{LoseAnswerEvery: 3, DelayMillis: 5})
