--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -18,6 +18,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
@@ -51,8 +52,9 @@
 		fx.StartTimeout(startTimeout),
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
+			peer.NewRouter, newMembers, newBudget,
 		),
-		fx.Invoke(runControl, runFront),
+		fx.Invoke(runControl, runPeers, runFront),
 	)
 }
 
@@ -77,11 +79,11 @@
 	Engine   engine.Client
 }
 
-func newClients(s settings.Entry) clients {
+func newClients(s settings.Entry, budget *keyvalue.Budget) clients {
 	platform := &http.Client{Transport: &http.Transport{}}
 	return clients{
 		Cloud:    cloud.HTTP(s.Platform.Cloud, platform),
-		KeyValue: keyvalue.HTTP(s.Platform.KeyValue, platform),
+		KeyValue: budget.Limit(keyvalue.HTTP(s.Platform.KeyValue, platformTransport())),
 		Engine:   engine.New(nil),
 	}
 }
@@ -114,10 +116,6 @@
 	return server
 }
 
-func newOperator(s settings.Entry, c *controller.Controller, server *Server) operator.Operator {
-	return operator.Operator{Snapshot: c.Snapshot, Work: server.Work, Tokens: s.Operator.Tokens}
-}
-
 func newRouter(s *Server, o operator.Operator) *mux.Router {
 	router := mux.NewRouter()
 	s.Routes(router)
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -46,6 +46,8 @@
 	engines map[identity.Host]*engine.Engine
 	kinds   map[identity.Service]configuration.Kind
 	spares  int
+	// lives holds one entry for each endpoint that was ever started.
+	lives map[identity.Host]life
 }
 
 // Start listens on every address of the settings and serves until ctx ends.
@@ -63,6 +65,7 @@
 		servers:  make(map[identity.Host]*http.Server),
 		engines:  make(map[identity.Host]*engine.Engine),
 		kinds:    make(map[identity.Service]configuration.Kind),
+		lives:    make(map[identity.Host]life),
 	}
 	d.Cloud.ListLag = time.Duration(settings.ListLag)
 	d.Cloud.Launch = d.launch
@@ -116,10 +119,17 @@
 	return err
 }
 
+// Records is what the endpoints really did.
+type Records struct {
+	Models engine.Totals `json:"models"`
+	// Filings gives how often each filing ran.
+	Filings map[string]int `json:"filings"`
+}
+
 // records answers with what the endpoints really did.
 func (d *Deployment) records(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(d.Models.Totals())
+	json.NewEncoder(w).Encode(Records{Models: d.Models.Totals(), Filings: d.Filings.All()})
 }
 
 // serve runs a server until the context ends or the server is closed.
@@ -160,10 +170,14 @@
 	}
 	d.mu.Lock()
 	d.servers[e.Host] = server
+	d.lives[e.Host] = life{zone: e.Zone, class: e.Class, reclaimable: e.Reclaimable, started: time.Now()}
 	if model != nil {
 		d.engines[e.Host] = model
 	}
 	d.mu.Unlock()
+	if e.Advertise.IsValid() {
+		address = e.Advertise
+	}
 	return wire.Host{
 		ID: e.Host, Incarnation: incarnation, Zone: e.Zone, Class: e.Class, Reclaimable: e.Reclaimable,
 		Service: e.Service, Address: address, State: wire.Live, ChecksFence: !e.IgnoresFence,
@@ -194,6 +208,7 @@
 	server := d.servers[host]
 	delete(d.servers, host)
 	delete(d.engines, host)
+	d.endLife(host)
 	d.mu.Unlock()
 	if server != nil {
 		server.Close()
--- /dev/null
+++ b/internal/version/route/baseline_test.go
@@ -0,0 +1,135 @@
+package route_test
+
+import (
+	"os"
+	"strconv"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/dispatch"
+	"github.com/dandelionlift/dandelionlift/internal/process/prefix"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/route"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+	"github.com/zeebo/xxh3"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+)
+
+// policy picks an engine's index for a request at a host, or -1.
+type policy struct {
+	choose      func(h *fakeHost, r *request) int
+	finished    func(h *fakeHost, r *request, endpoint int)
+	resync      func(h *fakeHost, of identity.Incarnation, sequence uint64, blocks []engine.Block)
+	cacheEvents func(h *fakeHost, endpoint int, incarnation identity.Incarnation, events []engine.CacheEvent)
+}
+
+var policies = []struct {
+	name string
+	make func(*sim) policy
+}{
+	{"dandelionlift", dandelionlift},
+	{"round_robin", func(s *sim) policy { return policy{choose: s.roundRobin} }},
+	{"least_outstanding", func(s *sim) policy { return policy{choose: s.leastOutstanding} }},
+	{"cheapest_first", func(s *sim) policy { return policy{choose: s.cheapestFirst} }},
+	{"prefix_hash", func(s *sim) policy { return policy{choose: s.prefixHash} }},
+}
+
+// dandelionlift gives each host a book of its own and an index of caches.
+func dandelionlift(s *sim) policy {
+	books, indexes := make([]*dispatch.Book, len(s.hosts)), make([]*prefix.Index, len(s.hosts))
+	know := make([]route.Knowledge, len(s.hosts))
+	tables := make([]*route.Table, len(s.hosts))
+	for i := range s.hosts {
+		books[i], indexes[i] = dispatch.New(), prefix.New()
+		know[i] = route.Knowledge{Own: books[i].Own, Cached: indexes[i].Cached, Holder: indexes[i].Holder, Hosts: len(s.hosts), Without: without()}
+	}
+	choose := func(h *fakeHost, r *request) int {
+		if tables[h.index] == nil || tables[h.index].Snapshot() != h.snapshot {
+			tables[h.index] = route.New(h.snapshot, tables[h.index], simTime(s.now), nil)
+		}
+		ask := route.Ask{Service: "model", Blocks: r.blocks, PromptTokens: unit.Tokens(r.prompt()), MaxTokens: unit.Tokens(r.output - r.generated), Batch: r.batch}
+		var d route.Decision
+		if !tables[h.index].Choose(&ask, &know[h.index], simTime(s.now), h.random, &d) {
+			return -1
+		}
+		e := tables[h.index].Find(&d)
+		books[h.index].Begin(r.id, e.Incarnation, d.Candidates[d.Winner].Terms.Uncached, simTime(s.now))
+		return s.number(e)
+	}
+	return policy{
+		choose:   choose,
+		finished: func(h *fakeHost, r *request, _ int) { books[h.index].End(r.id, true, simTime(s.now)) },
+		cacheEvents: func(h *fakeHost, _ int, of identity.Incarnation, events []engine.CacheEvent) {
+			indexes[h.index].Apply(of, events)
+		},
+		resync: func(h *fakeHost, of identity.Incarnation, sequence uint64, blocks []engine.Block) {
+			indexes[h.index].Resync(of, sequence, blocks)
+		},
+	}
+}
+
+// without reads the terms to switch off, as a number, for trials.
+func without() route.Term {
+	n, _ := strconv.ParseUint(os.Getenv("DANDELIONLIFT_WITHOUT"), 10, 8)
+	return route.Term(n)
+}
+
+func (s *sim) number(e fleet.Endpoint) int { return s.index(&fakeEngine{endpoint: e}) }
+
+// present lists the endpoints of a host's view that aren't leaving.
+func present(h *fakeHost) []fleet.Endpoint {
+	var list []fleet.Endpoint
+	for _, e := range h.snapshot.Endpoints {
+		if !e.Leaving {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (s *sim) roundRobin(h *fakeHost, _ *request) int {
+	list := present(h)
+	h.turn++
+	return s.number(list[(h.turn+h.index)%len(list)])
+}
+
+// leastOutstanding counts a host's own requests; ties go to any.
+func (s *sim) leastOutstanding(h *fakeHost, _ *request) int {
+	return s.least(h, func(e fleet.Endpoint) float64 { return float64(h.outstanding[s.number(e)]) })
+}
+
+// cheapestFirst takes the cheapest with room in its last report.
+func (s *sim) cheapestFirst(h *fakeHost, _ *request) int {
+	return s.least(h, func(e fleet.Endpoint) float64 {
+		cost := s.engines[s.number(e)].price
+		if e.Load.Running+e.Load.Waiting >= batchSize {
+			cost += 1e9
+		}
+		return cost
+	})
+}
+
+// prefixHash hashes past the organisation's common blocks, by rendezvous.
+func (s *sim) prefixHash(h *fakeHost, r *request) int {
+	key := uint64(r.blocks[min(15, len(r.blocks)-1)])
+	return s.least(h, func(e fleet.Endpoint) float64 {
+		return float64(xxh3.HashStringSeed(string(e.Incarnation), key))
+	})
+}
+
+func (s *sim) least(h *fakeHost, cost func(fleet.Endpoint) float64) int {
+	best, lowest, tied := -1, 0.0, 0
+	for _, e := range present(h) {
+		c := cost(e)
+		switch {
+		case best < 0 || c < lowest:
+			best, lowest, tied = s.number(e), c, 1
+		case c == lowest:
+			tied++
+			if h.random.IntN(tied) == 0 {
+				best = s.number(e)
+			}
+		}
+	}
+	return best
+}
