--- a/internal/process/command/ask.go
+++ b/internal/process/command/ask.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -194,13 +195,22 @@
 	return t, nil
 }
 
+// filled writes "-" for an empty cell, so that each row has as many words.
+func filled(row []string) []string {
+	cells := make([]string, 0, len(row))
+	for _, cell := range row {
+		cells = append(cells, cmp.Or(cell, "-"))
+	}
+	return cells
+}
+
 func (a asker) print(t operator.Table) error {
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	if len(t.Columns) > 0 {
 		fmt.Fprintln(w, strings.Join(t.Columns, "\t"))
 	}
 	for _, row := range t.Rows {
-		fmt.Fprintln(w, strings.Join(row, "\t"))
+		fmt.Fprintln(w, strings.Join(filled(row), "\t"))
 	}
 	if err := w.Flush(); err != nil {
 		return err
--- a/internal/process/command/ask_test.go
+++ b/internal/process/command/ask_test.go
@@ -45,14 +45,14 @@
 	var asked []operator.Ask
 	target := host(t, func(a operator.Ask) operator.Table {
 		asked = append(asked, a)
-		return operator.Table{Columns: []string{"zone", "x"}, Rows: [][]string{{"levant-a", "1"}}, Note: "one zone"}
+		return operator.Table{Columns: []string{"zone", "x"}, Rows: [][]string{{"levant-a", ""}}, Note: "one zone"}
 	})
 	out, _, status := run("", target, "show prices")
 	c.Assert(status, quicktest.Equals, 0)
-	c.Assert(out, quicktest.Equals, "zone      x\nlevant-a  1\none zone\n")
+	c.Assert(out, quicktest.Equals, "zone      x\nlevant-a  -\none zone\n")
 	out, _, status = run("", target, "--json", "--dry-run", "--command", "c1", "move s from a to b")
 	c.Assert(status, quicktest.Equals, 0)
-	c.Assert(out, quicktest.Equals, `{"columns":["zone","x"],"rows":[["levant-a","1"]],"note":"one zone"}`+"\n")
+	c.Assert(out, quicktest.Equals, `{"columns":["zone","x"],"rows":[["levant-a",""]],"note":"one zone"}`+"\n")
 	c.Assert(asked[1], quicktest.Equals, operator.Ask{Command: "c1", Line: "move s from a to b", DryRun: true})
 }
 
--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -14,6 +14,8 @@
 	call    call.Call
 	answer  *answer.Answer
 	started time.Time
+	// endpoint is where the newest attempt is.
+	endpoint identity.Host
 	// ended is zero while the answer is being assembled.
 	ended time.Time
 }
@@ -46,6 +48,16 @@
 	return w, true
 }
 
+// place notes the endpoint of a request's newest attempt.
+func (r *requests) place(id identity.Request, endpoint identity.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w, ok := r.works[id]; ok {
+		w.endpoint = endpoint
+		r.works[id] = w
+	}
+}
+
 // end starts the time for which the answer is kept.
 func (r *requests) end(id identity.Request) {
 	r.mu.Lock()
--- a/internal/process/entry/routing.go
+++ b/internal/process/entry/routing.go
@@ -72,6 +72,7 @@
 		return fleet.Endpoint{}, false
 	}
 	e := table.Find(&d)
+	s.requests.place(c.Request, e.Host)
 	r.book.Begin(c.Request, e.Incarnation, d.Candidates[d.Winner].Terms.Uncached, now)
 	return e, true
 }
--- a/internal/process/entry/work.go
+++ b/internal/process/entry/work.go
@@ -21,6 +21,7 @@
 			Request:      w.call.Request,
 			Organisation: w.call.Organisation,
 			Service:      w.call.Service,
+			Endpoint:     w.endpoint,
 			Tokens:       int64(w.answer.Offset()),
 			AgeMillis:    time.Since(w.started).Milliseconds(),
 		})
