route/score: charge evictions by the square of fullness

Cause: charging them in proportion moved documents off their first home while caches were half empty, at the price of reading common prefixes again. Change: fullness squared; what events say adds to the guess for a home instead of replacing it; guesses 0.7 and 0.6.

--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -63,8 +63,8 @@
 	overBoundMillis = 150.0
 	answerShare     = 0.5
 	fullOccupancy   = 1.5
-	homeTrust       = 0.8
-	secondTrust     = 0.7
+	homeTrust       = 0.7
+	secondTrust     = 0.6
 	evictShare      = 0.5
 	// alike is how far other hosts are taken to have sent what this one did.
 	alike            = 0.25
@@ -174,12 +174,13 @@
 
 // cached estimates the leading prompt tokens that an endpoint holds.
 func (c *chooser) cached(endpoint *fleet.Endpoint, guess float64) unit.Tokens {
-	guessed := guess * float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
-	if c.know.Cached == nil || len(c.ask.Blocks) == 0 {
-		return unit.Tokens(guessed)
+	total := float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
+	if c.know.Cached == nil || total == 0 {
+		return unit.Tokens(guess * total)
 	}
 	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
-	return unit.Tokens(max(guessed, trust*float64(held)))
+	known := trust * float64(held)
+	return unit.Tokens(known + guess*(total-known))
 }
 
 // evicted estimates how many tokens that others need would be lost by storing
@@ -191,7 +192,8 @@
 	}
 	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
 	stored := trust * trust * float64(c.ask.PromptTokens-held)
-	return evictShare * stored * float64(report.CachedTokens) / float64(report.CacheCapacity)
+	full := float64(report.CachedTokens) / float64(report.CacheCapacity)
+	return evictShare * stored * full * full
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
