version/carry: carry cached prefixes by value within the notice

Cause: the cache of a host that is taken back was lost whole; every prefix in it was read again elsewhere.

Change: Decide is a pure function of the time left, both ends' rates, the entries and the targets' headroom, held blocks and link prices.

Ruled out: placing greedily by density with affinity to the prefix's lane.

--- /dev/null
+++ b/internal/version/carry/carry_test.go
@@ -0,0 +1,145 @@
+package carry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/carry"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// broken names the first invariant that steps break, or is empty.
+func broken(ask carry.Ask, steps []carry.Step) string {
+	entries := make(map[carry.Block]carry.Entry)
+	for _, e := range ask.Entries {
+		if _, ok := entries[e.Block]; !ok {
+			entries[e.Block] = e
+		}
+	}
+	var sent unit.Bytes
+	for _, target := range ask.Targets {
+		var free time.Duration
+		var bytes unit.Bytes
+		has := make(map[carry.Block]bool)
+		for _, s := range steps {
+			if s.Target != target.Host {
+				continue
+			}
+			e, ok := entries[s.Block]
+			bytes += s.Bytes
+			sent += s.Bytes
+			fastest := time.Duration(float64(s.Bytes) / float64(target.BytesPerSecond) * float64(time.Second))
+			switch {
+			case !ok || s.Bytes != e.Bytes:
+				return "not an entry"
+			case has[s.Block]:
+				return "sent twice"
+			case e.Parent != 0 && !has[e.Parent] && !target.Held[e.Parent]:
+				return "prefix not whole"
+			case s.Start < free || s.End-s.Start < fastest:
+				return "faster than the target"
+			case s.End > ask.Left:
+				return "over time"
+			case bytes > target.Headroom:
+				return "over the target's headroom"
+			}
+			has[s.Block] = true
+			free = s.End
+		}
+	}
+	if float64(sent) > float64(ask.BytesPerSecond)*ask.Left.Seconds()+float64(len(steps)) {
+		return "faster than the source"
+	}
+	return ""
+}
+
+// arbitrary makes an ask with cycles, orphans, repeats and useless targets.
+func arbitrary(r *rand.Rand) carry.Ask {
+	ask := carry.Ask{
+		Left:           time.Duration(r.IntN(5000)) * time.Millisecond,
+		BytesPerSecond: unit.Bytes(r.IntN(2000)),
+		TokenWorth:     unit.Money(r.IntN(3)),
+	}
+	for range r.IntN(60) {
+		ask.Entries = append(ask.Entries, carry.Entry{
+			Block: carry.Block(r.IntN(50)), Parent: carry.Block(r.IntN(50) * r.IntN(2)),
+			Tokens: unit.Tokens(r.IntN(100)), Bytes: unit.Bytes(1 + r.IntN(400)), Reuse: r.Float64(),
+		})
+	}
+	for i := range r.IntN(5) {
+		held := make(map[carry.Block]bool)
+		for _, e := range ask.Entries {
+			if e.Parent == 0 && r.IntN(4) == 0 {
+				held[e.Block] = true
+			}
+		}
+		ask.Targets = append(ask.Targets, carry.Target{
+			Host: identity.Host(fmt.Sprint("t", i)), Headroom: unit.Bytes(r.IntN(3000)), Held: held,
+			BytesPerSecond: unit.Bytes(r.IntN(1000)), PricePerGigabyte: unit.Money(r.IntN(2)) * unit.Money(r.IntN(1e9)),
+		})
+	}
+	return ask
+}
+
+func TestCarryInvariants(t *testing.T) {
+	sent := 0
+	for seed := range uint64(5000) {
+		ask := arbitrary(rand.New(rand.NewPCG(seed, 1)))
+		steps := carry.Decide(ask)
+		sent += len(steps)
+		if fault := broken(ask, steps); fault != "" {
+			t.Fatalf("seed %d: %s", seed, fault)
+		}
+	}
+	qt.Check(t, sent > 5000, qt.IsTrue)
+}
+
+func FuzzCarry(f *testing.F) {
+	f.Add(uint64(1), uint64(2))
+	f.Fuzz(func(t *testing.T, a, b uint64) {
+		ask := arbitrary(rand.New(rand.NewPCG(a, b)))
+		if fault := broken(ask, carry.Decide(ask)); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+func TestCarryChoices(t *testing.T) {
+	near := carry.Target{Host: "near", Headroom: 1000, BytesPerSecond: 1000}
+	far := carry.Target{Host: "far", Headroom: 1000, BytesPerSecond: 1000, PricePerGigabyte: 1e9 * unit.Coin}
+	block := func(id, parent carry.Block, tokens unit.Tokens, reuse float64) carry.Entry {
+		return carry.Entry{Block: id, Parent: parent, Tokens: tokens, Bytes: 100, Reuse: reuse}
+	}
+	cases := []struct {
+		name    string
+		left    time.Duration
+		entries []carry.Entry
+		targets []carry.Target
+		want    []carry.Block
+	}{
+		{"no time", 0, []carry.Entry{block(1, 0, 9, 1)}, []carry.Target{near}, nil},
+		{"no target", time.Second, []carry.Entry{block(1, 0, 9, 1)}, nil, nil},
+		{"dearer than its worth", time.Second, []carry.Entry{block(1, 0, 9, 1)}, []carry.Target{far}, nil},
+		{"near before far", time.Second, []carry.Entry{block(1, 0, 9, 1)}, []carry.Target{far, near}, []carry.Block{1}},
+		{"likelier first", 100 * time.Millisecond, []carry.Entry{block(1, 0, 9, .1), block(2, 0, 9, .9)}, []carry.Target{near}, []carry.Block{2}},
+		{"a valuable tail pulls its head", 200 * time.Millisecond,
+			[]carry.Entry{block(1, 0, 50, .5), block(2, 0, 1, 0), block(3, 2, 200, .9)}, []carry.Target{near}, []carry.Block{2, 3}},
+		{"orphan", time.Second, []carry.Entry{block(2, 7, 9, 1)}, []carry.Target{near}, nil},
+		{"held already", time.Second, []carry.Entry{block(1, 0, 9, 1), block(2, 1, 9, 1)},
+			[]carry.Target{{Host: "near", Headroom: 1000, BytesPerSecond: 1000, Held: map[carry.Block]bool{1: true}}}, []carry.Block{2}},
+	}
+	for _, tc := range cases {
+		ask := carry.Ask{Left: tc.left, BytesPerSecond: 1000, TokenWorth: 1, Entries: tc.entries, Targets: tc.targets}
+		var got []carry.Block
+		for _, s := range carry.Decide(ask) {
+			got = append(got, s.Block)
+			qt.Check(t, s.Target, qt.Equals, identity.Host("near"), qt.Commentf(tc.name))
+		}
+		qt.Check(t, got, qt.DeepEquals, tc.want, qt.Commentf(tc.name))
+	}
+}
