--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -81,11 +81,10 @@
 
 func newClients(s settings.Entry, budget *keyvalue.Budget) clients {
 	platform := &http.Client{Transport: &http.Transport{}}
-	endpoints := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}
 	return clients{
 		Cloud:    cloud.HTTP(s.Platform.Cloud, platform),
 		KeyValue: budget.Limit(keyvalue.HTTP(s.Platform.KeyValue, platformTransport())),
-		Engine:   engine.Client{HTTP: endpoints},
+		Engine:   engine.New(nil),
 	}
 }
 
--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -58,11 +58,14 @@
 	agingAfter      = 500 * time.Millisecond
 	slowStart       = 10 * time.Second
 	slowStartMillis = 400.0
-	targetShare     = 0.5
+	targetShare     = 0.75
 	overTarget      = 4.0
 	overBoundMillis = 150.0
 	answerShare     = 0.5
-	homeTrust       = 0.5
+	fullOccupancy   = 1.5
+	homeTrust       = 0.7
+	secondTrust     = 0.6
+	evictShare      = 0.5
 	// alike is how far other hosts are taken to have sent what this one did.
 	alike            = 0.25
 	alikeInFlight    = 0.5
@@ -72,12 +75,13 @@
 	boundedLoadRatio = 1.25
 )
 
-// score rates the entry at i; home tells that it is the prompt's first home.
-func (c *chooser) score(i int, home bool) Terms {
+// score rates the entry at i; guess is the share of the prompt that it is
+// taken to hold whatever events say.
+func (c *chooser) score(i int, guess float64) Terms {
 	e := &c.group.entries[i]
 	endpoint := &c.table.snapshot.Endpoints[e.index]
 	running, backlog := c.load(endpoint)
-	uncached := float64(c.ask.PromptTokens - c.cached(endpoint, home))
+	uncached := float64(c.ask.PromptTokens - c.cached(endpoint, guess))
 	output := float64(c.ask.MaxTokens) * answerShare
 	service := &c.group.service
 	without := c.know.Without
@@ -92,12 +96,15 @@
 	}
 	if without&Price == 0 {
 		t.Price = service.CostWeight * e.price * busySeconds(running, uncached, output, i < c.group.active)
+		if i < c.group.active {
+			t.Price *= max(0, 1-c.group.load/(fullOccupancy*occupancy))
+		}
 	}
 	if without&Link == 0 {
 		t.Link = service.CostWeight * e.link * (float64(c.ask.PromptTokens)*bytesPerToken + output*bytesPerFrame)
 	}
 	if without&Recompute == 0 {
-		t.Recompute = service.RecomputeWeight * uncached
+		t.Recompute = service.RecomputeWeight * (uncached + c.evicted(endpoint))
 	}
 	if without&Target == 0 {
 		t.Target = c.target(wait, running)
@@ -166,16 +173,27 @@
 }
 
 // cached estimates the leading prompt tokens that an endpoint holds.
-func (c *chooser) cached(endpoint *fleet.Endpoint, home bool) unit.Tokens {
-	guess := 0.0
-	if home {
-		guess = homeTrust * float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
+func (c *chooser) cached(endpoint *fleet.Endpoint, guess float64) unit.Tokens {
+	total := float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
+	if c.know.Cached == nil || total == 0 {
+		return unit.Tokens(guess * total)
 	}
-	if c.know.Cached == nil || len(c.ask.Blocks) == 0 {
-		return unit.Tokens(guess)
+	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
+	known := trust * float64(held)
+	return unit.Tokens(known + guess*(total-known))
+}
+
+// evicted estimates how many tokens that others need would be lost by storing
+// the prompt: the fuller the cache, the more of them.
+func (c *chooser) evicted(endpoint *fleet.Endpoint) float64 {
+	report := &endpoint.Load
+	if report.CacheCapacity == 0 || c.know.Cached == nil || len(c.ask.Blocks) == 0 {
+		return 0
 	}
 	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
-	return unit.Tokens(max(guess, trust*float64(held)))
+	stored := trust * trust * float64(c.ask.PromptTokens-held)
+	full := float64(report.CachedTokens) / float64(report.CacheCapacity)
+	return evictShare * stored * full * full
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
