--- a/internal/standin/deployment/check_test.go
+++ b/internal/standin/deployment/check_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
 	"github.com/frankban/quicktest"
+	"github.com/pelletier/go-toml/v2"
 
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/standin/deployment"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
 )
 
 func TestCheckStandinSettings(t *testing.T) {
@@ -33,3 +36,34 @@
 		quicktest.Check(t, found.Error(), quicktest.Matches, "(?s)"+test.want, quicktest.Commentf("%s", test.with))
 	}
 }
+
+// keyPattern finds the keys of a TOML text.
+var keyPattern = regexp.MustCompile(`(?m)^([a-z0-9_]+) =`)
+
+func TestCheckDocumentationNamesEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/configuration.md")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	declared := configuration.Configuration{
+		Zones: make([]configuration.Zone, 1), Services: []configuration.Service{{Calls: make([]configuration.CallRule, 1)}},
+		Organisations: make([]configuration.Organisation, 1), Prices: make([]configuration.Price, 1), Links: make([]configuration.Link, 1),
+	}
+	standins := deployment.Settings{Endpoints: make([]deployment.Endpoint, 1), EntryHosts: make([]deployment.EntryHost, 1)}
+	host := settings.DefaultEntry()
+	host.Operator.Tokens = make([]settings.OperatorToken, 1)
+	names := append(keys(t, declared), append(keys(t, standins), keys(t, host)...)...)
+	quicktest.Assert(t, len(names) > 60, quicktest.IsTrue, quicktest.Commentf("%d", len(names)))
+	for _, name := range names {
+		quicktest.Check(t, string(page), quicktest.Matches, "(?s).*`([a-z_]+\\.)*"+name+"`.*")
+	}
+}
+
+// keys lists what a value of T is written with.
+func keys[T any](t *testing.T, value T) []string {
+	text, err := toml.Marshal(value)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	var all []string
+	for _, match := range keyPattern.FindAllStringSubmatch(string(text), -1) {
+		all = append(all, match[1])
+	}
+	return all
+}
