--- a/internal/version/configuration/order.go
+++ b/internal/version/configuration/order.go
@@ -43,6 +43,9 @@
 func (c Configuration) WithoutMove(number identity.Version) Configuration {
 	c = c.Clone()
 	c.Moves = slices.DeleteFunc(c.Moves, func(m Move) bool { return m.Number == number })
+	if len(c.Moves) == 0 {
+		c.Moves = nil
+	}
 	return c
 }
 
