--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -54,8 +54,9 @@
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
 			peer.NewRouter, newMembers, newBudget, newClaimer,
+			newReclaim,
 		),
-		fx.Invoke(runControl, runClaims, runPeers, runFront),
+		fx.Invoke(runControl, runClaims, runPeers, runReclaim, runFront),
 	)
 }
 
