process/entry: resume on a new connection first, within a retry budget and deadline

Cause: a silent connection was blamed on its endpoint; the superseded attempt was left running at the engine; frames without new tokens counted as progress; retries had no budget, jitter or deadline; a plain attempt at a silent endpoint took the whole time; answers kept 16 bytes and an allocation a token without a bound; a hurried stop did not say what it cut.

Dandelionlift-Deadline-Ms is read and handed on. answer keeps its text once and four bytes a token, within a limit; a host holds at most 512 MB by reservation.

--- a/internal/connection/engine/message.go
+++ b/internal/connection/engine/message.go
@@ -48,6 +48,8 @@
 	// IncarnationHeader names the incarnation that is meant, and on the answer
 	// the one that answered. An endpoint refuses another's with 421.
 	IncarnationHeader = "Dandelionlift-Incarnation"
+	// DeadlineHeader carries how many milliseconds the sender still waits.
+	DeadlineHeader = "Dandelionlift-Deadline-Ms"
 )
 
 // Priority orders requests inside an engine; higher runs first.
--- a/internal/connection/engine/pool.go
+++ b/internal/connection/engine/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,10 @@
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(0, time.Until(deadline).Milliseconds())
+		request.Header.Set(DeadlineHeader, strconv.FormatInt(left, 10))
+	}
 	// A body without GetBody keeps net/http from sending it again.
 	request.GetBody = nil
 	response, err := client.Do(request.WithContext(ctx))
--- a/internal/connection/engine/stream_fuzz_test.go
+++ b/internal/connection/engine/stream_fuzz_test.go
@@ -45,7 +45,7 @@
 				return
 			}
 			before := assembled.Offset()
-			err = assembled.Add(frame.Offset, frame.Tokens)
+			_, err = assembled.Add(frame.Offset, frame.Tokens)
 			after := assembled.Offset()
 			if frame.Offset > before && verdict.Of(err) == nil {
 				t.Fatalf("a gap from %d to %d was taken", before, frame.Offset)
--- /dev/null
+++ b/internal/process/entry/assemble.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/request/attempt"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+const (
+	leavingPoll   = 100 * time.Millisecond
+	cancelTimeout = time.Second
+	// patience is how long a call that has begun waits for an endpoint.
+	patience = 30 * time.Second
+)
+
+// assemble makes attempts until the answer is whole or can't be. Attempts that
+// brought tokens don't count against mostAttempts.
+func (s *Server) assemble(ctx context.Context, w work) {
+	ctx, cancel := withDeadline(ctx, w.call.Deadline)
+	defer cancel()
+	failure := verdict.New(verdict.NotRun, verdict.NoEndpoint, "")
+	var tried []identity.Incarnation
+	idle, offset := 0, w.answer.Offset()
+	for idle < mostAttempts {
+		endpoint, ok := s.chooseAgain(ctx, w, &tried, idle > 0 || offset > 0)
+		if !ok {
+			break
+		}
+		s.requests.place(w.call.Request, endpoint.Host)
+		err := s.attempt(ctx, w, endpoint)
+		if err == nil {
+			s.retries.succeeded(w.call.Service, s.share(w.call.Service))
+			return
+		}
+		failure = ended(ctx, verdict.Of(err)).After(failure.Verdict)
+		s.Log.Info("attempt_failed", "request", w.call.Request, "endpoint", endpoint.Host,
+			"reason", failure.Reason, "offset", w.answer.Offset(), "error", err)
+		idle++
+		if now := w.answer.Offset(); now > offset {
+			idle, offset = 1, now
+		}
+		if refused := s.retry(ctx, w.call, failure, idle); refused != nil {
+			failure = refused
+			break
+		}
+	}
+	w.answer.Fail(ended(ctx, failure))
+}
+
+func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+// chooseAgain picks an endpoint and notes it in tried. A call that has begun
+// waits for one, and then also returns to those that failed it before.
+func (s *Server) chooseAgain(ctx context.Context, w work, tried *[]identity.Incarnation, begun bool) (fleet.Endpoint, bool) {
+	waited := time.Now()
+	for {
+		endpoint, ok := s.choose(w.call, *tried)
+		if ok {
+			*tried = append(*tried, endpoint.Incarnation)
+			return endpoint, true
+		}
+		if !begun || time.Since(waited) > patience {
+			return endpoint, false
+		}
+		*tried = nil
+		if !pause(ctx, leavingPoll) {
+			return endpoint, false
+		}
+	}
+}
+
+// pause waits, or reports false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt tries an endpoint. When the connection may be at fault and the
+// endpoint answers on a new one, it is tried once more there before it is
+// blamed.
+func (s *Server) attempt(ctx context.Context, w work, endpoint fleet.Endpoint) error {
+	err := s.try(ctx, w, endpoint, s.Engine)
+	if err == nil {
+		return nil
+	}
+	failure := verdict.Of(err)
+	if failure.Verdict == verdict.NotRun {
+		return err
+	}
+	suspect := failure.Reason == verdict.EndpointSilent || failure.Reason == verdict.EndpointLost
+	if !suspect || ctx.Err() != nil {
+		s.group.Go(func() error {
+			s.supersede(w, endpoint)
+			return nil
+		})
+		return err
+	}
+	if !s.supersede(w, endpoint) || !s.retries.spend(w.call.Service) {
+		return err
+	}
+	s.Meter.Retried(failure.Reason)
+	fresh := engine.Client{HTTP: s.Engine.Fresh, Fresh: s.Engine.Fresh}
+	return s.try(ctx, w, endpoint, fresh)
+}
+
+// supersede cancels an attempt at the engine over a new connection, and tells
+// whether the engine answered.
+func (s *Server) supersede(w work, endpoint fleet.Endpoint) bool {
+	if s.Engine.Fresh == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
+	defer cancel()
+	fresh := engine.Client{HTTP: s.Engine.Fresh}
+	err := fresh.Cancel(ctx, endpoint.Address, engine.Cancel{Request: w.call.Request})
+	s.Meter.Counter("attempts_superseded_total").Inc()
+	return err == nil
+}
+
+// try makes one attempt and ends it early when the endpoint starts to leave and
+// another could take over.
+func (s *Server) try(ctx context.Context, w work, endpoint fleet.Endpoint, client engine.Client) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var watch *time.Timer
+	watch = time.AfterFunc(time.Hour, func() {
+		if leaves(s.Snapshot(), endpoint) {
+			cancel(verdict.New(verdict.MayHaveRun, verdict.EndpointLeaving, ""))
+			return
+		}
+		watch.Reset(leavingPoll)
+	})
+	watch.Reset(leavingPoll)
+	defer watch.Stop()
+	return attempt.Run(ctx, client, w.call, endpoint, w.answer, s.Silence)
+}
+
+// leaves tells that an endpoint is leaving while another serves.
+func leaves(f *fleet.Snapshot, endpoint fleet.Endpoint) bool {
+	now, ok := f.Find(endpoint.Host)
+	if !ok || now.Incarnation != endpoint.Incarnation || !now.Leaving {
+		return false
+	}
+	return slices.ContainsFunc(f.Serving(endpoint.Service), func(i int) bool { return !f.Endpoints[i].Leaving })
+}
+
+// ended names the deadline as the reason of what it ended.
+func ended(ctx context.Context, failure *verdict.Error) *verdict.Error {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) || failure.Reason == verdict.DeadlineExceeded {
+		return failure
+	}
+	return verdict.Wrap(failure.Verdict, verdict.DeadlineExceeded, failure)
+}
--- a/internal/process/entry/completion.go
+++ b/internal/process/entry/completion.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -16,11 +15,9 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
 	"github.com/dandelionlift/dandelionlift/internal/request/answer"
-	"github.com/dandelionlift/dandelionlift/internal/request/attempt"
 	"github.com/dandelionlift/dandelionlift/internal/request/call"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
-	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 	"github.com/dandelionlift/dandelionlift/internal/version/unit"
 )
@@ -118,8 +115,13 @@
 	if body.Prompt == "" || body.MaxTokens < 0 || body.MaxTokens > mostMaxTokens {
 		return call.Call{}, body, verdict.New(verdict.NotRun, verdict.BadRequest, "prompt must not be empty, max_tokens must be 1 to 32768")
 	}
+	deadline, failure := deadlineOf(r, time.Now())
+	if failure != nil {
+		return call.Call{}, body, failure
+	}
 	c := call.Call{
 		Request:      identity.NewRequest(),
+		Deadline:     deadline,
 		Organisation: organisation,
 		Service:      body.Model,
 		Key:          r.Header.Get("Idempotency-Key"),
@@ -168,48 +170,6 @@
 	return "", verdict.New(verdict.NotRun, verdict.Unauthorised, "unknown bearer key")
 }
 
-// assemble makes attempts until the answer is whole or can't be.
-func (s *Server) assemble(ctx context.Context, w work) {
-	var tried []identity.Incarnation
-	failure := verdict.New(verdict.NotRun, verdict.NoEndpoint, "")
-	for range mostAttempts {
-		endpoint, ok := s.choose(w.call, tried)
-		if !ok {
-			break
-		}
-		tried = append(tried, endpoint.Incarnation)
-		err := s.try(ctx, w, endpoint)
-		if err == nil {
-			return
-		}
-		failure = verdict.Of(err).After(failure.Verdict)
-		s.Meter.Retried(failure.Reason)
-		s.Log.Info("attempt_failed", "request", w.call.Request, "endpoint", endpoint.Host,
-			"reason", failure.Reason, "offset", w.answer.Offset(), "error", err)
-	}
-	w.answer.Fail(failure)
-}
-
-// try makes one attempt and ends it early when the endpoint starts to leave.
-func (s *Server) try(ctx context.Context, w work, endpoint fleet.Endpoint) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	var watch *time.Timer
-	watch = time.AfterFunc(time.Hour, func() {
-		now, ok := s.Snapshot().Find(endpoint.Host)
-		if ok && now.Incarnation == endpoint.Incarnation && now.Leaving {
-			cancel(verdict.New(verdict.MayHaveRun, verdict.EndpointLeaving, ""))
-			return
-		}
-		watch.Reset(leavingPoll)
-	})
-	watch.Reset(leavingPoll)
-	defer watch.Stop()
-	return attempt.Run(ctx, s.Engine, w.call, endpoint, w.answer, s.Silence)
-}
-
-const leavingPoll = 100 * time.Millisecond
-
 // again lets a caller that lost its connection fetch the whole answer.
 func (s *Server) again(w http.ResponseWriter, r *http.Request) {
 	organisation, failure := s.authorise(r)
@@ -237,23 +197,17 @@
 		s.followStream(w, r, running, chat)
 		return
 	}
-	for offset := unit.Tokens(0); ; {
-		piece, err := running.answer.Read(r.Context(), offset)
-		if err != nil {
-			return
-		}
-		offset += unit.Tokens(len(piece.Tokens))
-		if !piece.Done {
-			continue
-		}
-		if piece.Failure != nil {
-			s.refuse(w, string(running.call.Request), piece.Failure)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(whole(running, piece, chat))
+	piece, err := running.answer.Wait(r.Context())
+	if err != nil {
+		return
+	}
+	if piece.Failure != nil {
+		s.refuse(w, string(running.call.Request), piece.Failure)
 		return
 	}
+	s.allow(http.NewResponseController(w))
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(whole(running, piece, chat))
 }
 
 func whole(running work, piece answer.Piece, chat bool) chunk {
@@ -278,7 +232,7 @@
 		if err != nil {
 			return
 		}
-		if !started && piece.Failure != nil && len(piece.Tokens) == 0 {
+		if !started && piece.Failure != nil && piece.Count == 0 {
 			s.refuse(w, string(running.call.Request), piece.Failure)
 			return
 		}
@@ -286,9 +240,10 @@
 			w.Header().Set("Content-Type", "text/event-stream")
 			started = true
 		}
-		if len(piece.Tokens) > 0 {
+		s.allow(controller)
+		if piece.Count > 0 {
 			writeEvent(w, streamed(running, piece, chat))
-			offset += unit.Tokens(len(piece.Tokens))
+			offset += piece.Count
 		}
 		if piece.Done && piece.Failure != nil {
 			s.Meter.Refused(piece.Failure.Reason)
@@ -313,10 +268,9 @@
 }
 
 func streamed(running work, piece answer.Piece, chat bool) chunk {
-	text := strings.Join(piece.Tokens, "")
-	c := choice{Text: text}
+	c := choice{Text: piece.Text}
 	if chat {
-		c = choice{Delta: &message{Role: "assistant", Content: text}}
+		c = choice{Delta: &message{Role: "assistant", Content: piece.Text}}
 	}
 	return chunk{
 		ID: running.call.Request, Object: "text_completion", Model: running.call.Service,
@@ -332,6 +286,16 @@
 	fmt.Fprintf(w, "data: %s\n\n", data)
 }
 
+// allow bounds the next write, so that a caller that takes nothing loses its
+// connection. Its answer is kept, and it can follow it again.
+func (s *Server) allow(controller *http.ResponseController) {
+	if err := controller.SetWriteDeadline(time.Now().Add(slowCaller)); err != nil {
+		s.Log.Debug("no_write_deadline", "error", err)
+	}
+}
+
+const slowCaller = 30 * time.Second
+
 // flush sends what was written, or reports that the caller is gone.
 func (s *Server) flush(controller *http.ResponseController) bool {
 	err := controller.Flush()
--- a/internal/process/entry/plain.go
+++ b/internal/process/entry/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -15,6 +14,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/request/call"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -44,6 +44,8 @@
 func (s *Server) carryOut(c call.Call) (engine.PlainAnswer, *verdict.Error) {
 	ctx, cancel := context.WithTimeout(s.ctx, plainTimeout)
 	defer cancel()
+	ctx, cancel = withDeadline(ctx, c.Deadline)
+	defer cancel()
 	release, failure := s.admit(ctx, c)
 	if failure != nil {
 		return engine.PlainAnswer{}, failure
@@ -101,12 +103,17 @@
 	if err != nil {
 		return call.Call{}, verdict.Wrap(verdict.NotRun, verdict.BadRequest, err)
 	}
+	deadline, failure := deadlineOf(r, time.Now())
+	if failure != nil {
+		return call.Call{}, failure
+	}
 	path := strings.TrimPrefix(r.URL.Path, "/v1/services/"+string(id))
 	return call.Call{
 		Request:      identity.NewRequest(),
 		Organisation: organisation,
 		Service:      id,
 		Key:          r.Header.Get("Idempotency-Key"),
+		Deadline:     deadline,
 		Method:       r.Method,
 		Path:         path,
 		Query:        r.URL.RawQuery,
@@ -120,14 +127,15 @@
 func (s *Server) dispatch(ctx context.Context, c call.Call) (engine.PlainAnswer, *verdict.Error) {
 	var tried []identity.Incarnation
 	failure := verdict.New(verdict.NotRun, verdict.NoEndpoint, "")
-	for range mostAttempts {
+	for attempts := range mostAttempts {
 		endpoint, ok := s.choose(c, tried)
 		if !ok {
 			return engine.PlainAnswer{}, failure
 		}
 		tried = append(tried, endpoint.Incarnation)
-		answered, err := s.Engine.Forward(ctx, endpoint.Address, plainOf(c, endpoint.Incarnation))
+		answered, err := s.forward(ctx, c, endpoint)
 		if err == nil {
+			s.retries.succeeded(c.Service, s.share(c.Service))
 			return answered, nil
 		}
 		failure = ended(ctx, verdict.Of(err)).After(failure.Verdict)
@@ -137,17 +145,41 @@
 		if ctx.Err() != nil {
 			return engine.PlainAnswer{}, failure
 		}
-		s.Meter.Retried(failure.Reason)
+		if refused := s.retry(ctx, c, failure, attempts); refused != nil {
+			return engine.PlainAnswer{}, refused
+		}
 	}
 	return engine.PlainAnswer{}, failure
 }
 
-// ended names the deadline as the reason of an attempt that it ended.
-func ended(ctx context.Context, failure *verdict.Error) *verdict.Error {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return failure
+// forward tries an endpoint. A repeatable call that failed on a connection is
+// tried once more on a new one before the endpoint is blamed.
+func (s *Server) forward(ctx context.Context, c call.Call, endpoint fleet.Endpoint) (engine.PlainAnswer, error) {
+	p := plainOf(c, endpoint.Incarnation)
+	if !c.Repeatable {
+		return s.Engine.Forward(ctx, endpoint.Address, p)
+	}
+	answered, err := s.forwardWithin(ctx, endpoint, p)
+	if err == nil || verdict.Of(err).Verdict == verdict.NotRun || ctx.Err() != nil {
+		return answered, err
+	}
+	if !s.retries.spend(c.Service) {
+		return answered, err
+	}
+	s.Meter.Retried(verdict.Of(err).Reason)
+	p.Repeatable = false
+	return s.forwardWithin(ctx, endpoint, p)
+}
+
+// forwardWithin gives an attempt up when it is silent for too long.
+func (s *Server) forwardWithin(ctx context.Context, endpoint fleet.Endpoint, p engine.Plain) (engine.PlainAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Silence.Between)
+	defer cancel()
+	answered, err := s.Engine.Forward(ctx, endpoint.Address, p)
+	if err != nil && ctx.Err() != nil {
+		return answered, verdict.Wrap(verdict.Of(err).Verdict, verdict.EndpointSilent, err)
 	}
-	return verdict.Wrap(failure.Verdict, verdict.DeadlineExceeded, failure)
+	return answered, err
 }
 
 func plainOf(c call.Call, incarnation identity.Incarnation) engine.Plain {
--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -16,20 +16,43 @@
 	// plain is used in place of answer by calls to a plain service.
 	plain   *plainResult
 	started time.Time
+	// bytes bounds what the work holds.
+	bytes int
 	// endpoint is where the newest attempt is.
 	endpoint identity.Host
 	// ended is zero while the answer is being assembled.
 	ended time.Time
 }
 
+const (
+	// memoryLimit bounds what all works of a host hold, in bytes.
+	memoryLimit = 512 << 20
+	// bytesPerToken bounds the text of an answer, endBytes what else a token takes.
+	bytesPerToken = 32
+	endBytes      = 4
+	// plainAnswerBytes is reserved for the answer of a plain service.
+	plainAnswerBytes = 64 << 10
+)
+
+// sizeOf bounds what a call and its answer hold.
+func sizeOf(c call.Call) int {
+	size := len(c.Prompt) + len(c.Body) + int(c.MaxTokens)*(bytesPerToken+endBytes)
+	if c.Method != "" {
+		size += plainAnswerBytes
+	}
+	return size
+}
+
 // requests holds the work of one entry host by request id.
 type requests struct {
 	mu    sync.Mutex
 	works map[identity.Request]work
 	// running counts works that have not ended.
 	running int
-	limit   int
-	kept    time.Duration
+	// bytes sums up those of all works; it stays below memoryLimit.
+	bytes int
+	limit int
+	kept  time.Duration
 }
 
 func newRequests(limit int, kept time.Duration) *requests {
@@ -41,10 +64,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget(time.Now())
-	if len(r.works) >= r.limit {
+	size := sizeOf(c)
+	if len(r.works) >= r.limit || r.bytes+size > memoryLimit {
 		return work{}, false
 	}
-	w := work{call: c, answer: answer.New(), plain: &plainResult{done: make(chan struct{})}, started: time.Now()}
+	r.bytes += size
+	w := work{
+		call: c, answer: answer.Sized(int(c.MaxTokens) * bytesPerToken),
+		plain: &plainResult{done: make(chan struct{})}, started: time.Now(), bytes: size,
+	}
 	r.works[c.Request] = w
 	r.running++
 	return w, true
@@ -91,6 +119,7 @@
 	for id, w := range r.works {
 		if !w.ended.IsZero() && now.Sub(w.ended) > r.kept {
 			delete(r.works, id)
+			r.bytes -= w.bytes
 		}
 	}
 }
--- /dev/null
+++ b/internal/process/entry/resume_test.go
@@ -0,0 +1,210 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	standinengine "github.com/dandelionlift/dandelionlift/internal/standin/engine"
+	"github.com/dandelionlift/dandelionlift/internal/standin/network"
+)
+
+// engineBusy finds the engine that runs a request.
+func engineBusy(c *qt.C, d *deployment) int {
+	for _, e := range d.snapshot.Load().Endpoints {
+		_, err := d.hosts[0].server.Engine.Load(d.ctx, e.Address)
+		c.Assert(err, qt.IsNil)
+	}
+	time.Sleep(standinengine.DefaultSpeed.ReportLag) // Then it reports the load as of now.
+	for i, e := range d.snapshot.Load().Endpoints {
+		load, err := d.hosts[0].server.Engine.Load(d.ctx, e.Address)
+		c.Assert(err, qt.IsNil)
+		if load.Running > 0 {
+			return i
+		}
+	}
+	c.Fatal("no engine runs anything")
+	return -1
+}
+
+// TestResumeAfterEachLoss lets one of two engines go, in several ways, while it
+// answers: the caller must get each token once.
+func TestResumeAfterEachLoss(t *testing.T) {
+	lose := func(address netip.Addr) func(from, to netip.Addr) network.Path {
+		return func(from, to netip.Addr) network.Path { return network.Path{Lost: from == address || to == address} }
+	}
+	for name, loss := range map[string]func(d *deployment, i int, address netip.Addr){
+		"closed": func(d *deployment, i int, _ netip.Addr) { d.servers[1+i].Close() },
+		"cut":    func(d *deployment, _ int, address netip.Addr) { d.network.SetRule(lose(address)) },
+		"silent": func(d *deployment, _ int, address netip.Addr) {
+			d.network.SetRule(lose(address))
+			time.AfterFunc(time.Second, func() { d.network.SetRule(nil) })
+		},
+		"leaving": func(d *deployment, i int, _ netip.Addr) { d.leave(i) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				d := newDeployment(1, 2, 0, nil)
+				defer d.stop()
+				time.AfterFunc(4*time.Second, func() {
+					i := engineBusy(c, d)
+					loss(d, i, d.snapshot.Load().Endpoints[i].Address.Addr())
+				})
+				got, reply := d.complete(1, d.hosts[0], "history of boiler", 400)
+				c.Assert(reply.err, qt.IsNil)
+				c.Assert(got, qt.Equals, standinengine.Text("history of boiler", 400), qt.Commentf("%+v", reply))
+				totals := d.computed.Totals()
+				c.Assert(totals.Starts, qt.Equals, 2)
+				c.Assert(totals.Generated < 800, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestResumeOnNewConnection freezes the connection to an engine for good while
+// new ones work: the engine must not be blamed, and must be told to end the
+// attempt that it can't see has ended.
+func TestResumeOnNewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 2, 0, nil)
+		defer d.stop()
+		first, second := -1, -1
+		time.AfterFunc(2*time.Second, func() {
+			first = engineBusy(c, d)
+			address := d.snapshot.Load().Endpoints[first].Address.Addr()
+			d.network.SetRule(func(from, _ netip.Addr) network.Path { return network.Path{Lost: from == address} })
+			time.AfterFunc(time.Second, func() { d.network.SetRule(nil) })
+		})
+		time.AfterFunc(8*time.Second, func() { second = engineBusy(c, d) })
+		got, reply := d.complete(1, d.hosts[0], "history of boiler", 600)
+		c.Assert(got, qt.Equals, standinengine.Text("history of boiler", 600), qt.Commentf("%+v", reply))
+		c.Assert(second, qt.Equals, first)
+		c.Assert(d.cancels.Load(), qt.Equals, int64(1))
+		c.Assert(d.computed.Totals().Starts, qt.Equals, 2)
+	})
+}
+
+// TestResumeByCaller drops the caller's connection: the answer goes on and can
+// be had whole by its request id.
+func TestResumeByCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 1, 1, nil)
+		defer d.stop()
+		first := d.call(1, d.hosts[0], http.MethodPost, "/v1/services/ledger/filings/f", "key", "night")
+		again := d.call(2, d.hosts[0], http.MethodGet, "/v1/requests/"+first.request, "", "")
+		c.Assert(again.body, qt.Equals, first.body)
+		_, model := d.complete(1, d.hosts[0], "prompt", 20)
+		again = d.call(2, d.hosts[0], http.MethodGet, "/v1/requests/"+model.request, "", "")
+		c.Assert(completionText(again.body), qt.Equals, standinengine.Text("prompt", 20))
+		c.Assert(d.filed.Runs("f"), qt.Equals, 1)
+	})
+}
+
+// TestDrainCutsNothing stops an entry host while it answers: requests that came
+// before and during the balancer's lag all end well.
+func TestDrainCutsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 2, 1, nil)
+		defer d.stop()
+		var texts [4]string
+		for i := range texts {
+			d.group.Go(func() error {
+				time.Sleep(time.Duration(i) * time.Second)
+				texts[i], _ = d.complete(i, d.hosts[0], fmt.Sprint("prompt ", i), 1000)
+				return nil
+			})
+		}
+		time.Sleep(1500 * time.Millisecond)
+		began := time.Now()
+		c.Assert(d.hosts[0].server.Drain(d.ctx), qt.IsNil)
+		c.Assert(time.Since(began) > 15*time.Second, qt.IsTrue)
+		synctest.Wait()
+		for i, text := range texts {
+			c.Assert(text, qt.Equals, standinengine.Text(fmt.Sprint("prompt ", i), 1000))
+		}
+		ready := d.call(9, d.hosts[0], http.MethodGet, "/readyz", "", "")
+		c.Assert(ready.status, qt.Equals, http.StatusServiceUnavailable)
+	})
+}
+
+// TestDrainHurriedNamesWhatItCuts ends the wait early.
+func TestDrainHurriedNamesWhatItCuts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 1, 0, nil)
+		defer d.stop()
+		d.group.Go(func() error {
+			d.complete(1, d.hosts[0], "prompt", 2000)
+			return nil
+		})
+		time.Sleep(time.Second)
+		ctx, hurry := context.WithTimeout(d.ctx, 7*time.Second)
+		defer hurry()
+		err := d.hosts[0].server.Drain(ctx)
+		c.Assert(err, qt.ErrorMatches, `(?s).*cuts 1 requests: .* of fitters to model.*`)
+	})
+}
+
+// TestVerdictAtDeadline ends a model call at the caller's deadline, also at the
+// engine.
+func TestVerdictAtDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 1, 1, nil)
+		defer d.stop()
+		began := time.Now()
+		header := http.Header{engine.DeadlineHeader: {"2000"}}
+		got := d.callWith(1, d.hosts[0], http.MethodPost, "/v1/completions", header, `{"model":"model","prompt":"p","max_tokens":2000}`)
+		c.Assert(time.Since(began), qt.Equals, 2*time.Second)
+		c.Assert(got.status, qt.Equals, http.StatusGatewayTimeout)
+		c.Assert(got.verdict, qt.Equals, "may_have_run")
+		c.Assert(got.reason, qt.Equals, "deadline_exceeded")
+		header = http.Header{engine.DeadlineHeader: {"20"}}
+		got = d.callWith(1, d.hosts[0], http.MethodPost, "/v1/services/ledger/filings/f", header, "night")
+		c.Assert(got.verdict, qt.Equals, "may_have_run")
+		time.Sleep(time.Second)
+		c.Assert(d.computed.Totals().Generated < 120, qt.IsTrue)
+	})
+}
+
+// TestVerdictRetriesStayInBudget has all endpoints of a service fail: lookups
+// may cost no more attempts than the budget holds.
+func TestVerdictRetriesStayInBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 0, 3, nil)
+		defer d.stop()
+		var attempts atomic.Int64
+		d.front = func(w http.ResponseWriter, _ *http.Request) bool {
+			attempts.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		const calls = 200
+		var group errgroup.Group
+		for i := range calls {
+			group.Go(func() error {
+				got := d.call(i, d.hosts[0], http.MethodGet, "/v1/services/ledger/filings/f", "", "")
+				if got.verdict != "may_have_run" {
+					return fmt.Errorf("%+v", got)
+				}
+				return nil
+			})
+		}
+		c.Assert(group.Wait(), qt.IsNil)
+		// The budget is 50 and a trickle of one a second over ten seconds.
+		c.Assert(attempts.Load() <= calls+50+10, qt.IsTrue, qt.Commentf("%d attempts", attempts.Load()))
+	})
+}
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -46,6 +46,7 @@
 	claims   Claims
 	settings settings.Entry
 	requests *requests
+	retries  *retries
 	group    *errgroup.Group
 	ctx      context.Context
 	stopping atomic.Bool
@@ -61,6 +62,7 @@
 		Silence:  attempt.Silence{FirstToken: firstTokenSilence, Between: betweenSilence},
 		settings: s,
 		requests: newRequests(s.Limits.Requests, time.Duration(s.Limits.AnswerKept)),
+		retries:  newRetries(),
 		group:    group,
 		ctx:      ctx,
 		router:   newCallRouter(),
@@ -125,33 +127,6 @@
 	s.Meter.Write(w)
 }
 
-// Drain says unready, waits out the balancer's lag, and returns when all work
-// has ended or ctx has.
-func (s *Server) Drain(ctx context.Context) error {
-	s.stopping.Store(true)
-	s.Log.Info("stop_began", "running", s.Running())
-	lag := time.NewTimer(time.Duration(s.settings.Stop.BalancerLag))
-	defer lag.Stop()
-	select {
-	case <-lag.C:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for s.Running() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			s.Log.Warn("stop_cut", "running", s.Running())
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
-const drainPoll = 20 * time.Millisecond
-
 // problem is an error answer after RFC 9457.
 type problem struct {
 	Type    string         `json:"type"`
--- a/internal/request/answer/answer.go
+++ b/internal/request/answer/answer.go
@@ -5,12 +5,16 @@
 // Every token has an offset from the start of the answer. Add takes the frames
 // of one attempt after another: what is already there is trimmed, a gap is
 // refused. Readers follow the answer from any offset, so a caller that lost its
-// connection loses no token.
+// connection loses no token, and a slow one holds up nobody.
+//
+// # Size
+//
+// An answer holds its text once and four bytes for each token, and refuses more
+// text than its limit.
 package answer
 
 import (
 	"context"
-	"strings"
 	"sync"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
@@ -18,38 +22,66 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/unit"
 )
 
+// MaxBytes bounds the text of an answer that New made.
+const MaxBytes = 4 << 20
+
 // Answer is the answer to one request. Make one with New.
 type Answer struct {
-	mu     sync.Mutex
-	tokens []string
+	mu sync.Mutex
+	// limit bounds the length of text.
+	limit int
+	text  []byte
+	// ends holds the end of each token in text.
+	ends []uint32
 	// usage and failure are set once, by Finish or Fail; done is then true.
 	usage   engine.Usage
 	failure *verdict.Error
 	done    bool
+	// changed is closed at the next change; nil while nobody waits.
 	changed chan struct{}
 }
 
 // New makes an empty answer.
 func New() *Answer {
-	return &Answer{changed: make(chan struct{})}
+	return Sized(MaxBytes)
+}
+
+// Sized makes an empty answer with a limit in bytes.
+func Sized(limit int) *Answer {
+	return &Answer{limit: limit}
 }
 
-// Add appends the tokens that start at offset, less those already there. A gap
-// is an error and adds nothing.
-func (a *Answer) Add(offset unit.Tokens, tokens []string) error {
+// Add appends the tokens that start at offset, less those already there, and
+// tells how many it took. A gap is an error and adds nothing.
+func (a *Answer) Add(offset unit.Tokens, tokens []string) (unit.Tokens, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	have := unit.Tokens(len(a.tokens))
+	have := unit.Tokens(len(a.ends))
 	if offset < 0 || offset > have {
-		return verdict.New(verdict.MayHaveRun, verdict.AnswerGap, "")
+		return 0, verdict.New(verdict.MayHaveRun, verdict.AnswerGap, "")
 	}
 	overlap := have - offset
 	if a.done || overlap >= unit.Tokens(len(tokens)) {
-		return nil
+		return 0, nil
+	}
+	added := tokens[overlap:]
+	if len(a.text)+size(added) > a.limit {
+		return 0, verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "answer too large")
+	}
+	for _, token := range added {
+		a.text = append(a.text, token...)
+		a.ends = append(a.ends, uint32(len(a.text)))
 	}
-	a.tokens = append(a.tokens, tokens[overlap:]...)
 	a.wake()
-	return nil
+	return unit.Tokens(len(added)), nil
+}
+
+func size(tokens []string) int {
+	sum := 0
+	for _, token := range tokens {
+		sum += len(token)
+	}
+	return sum
 }
 
 // Finish marks the answer whole.
@@ -76,28 +108,33 @@
 
 // wake lets waiting readers look again; mu is held.
 func (a *Answer) wake() {
+	if a.changed == nil {
+		return
+	}
 	close(a.changed)
-	a.changed = make(chan struct{})
+	a.changed = nil
 }
 
 // Offset is how many tokens there are.
 func (a *Answer) Offset() unit.Tokens {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return unit.Tokens(len(a.tokens))
+	return unit.Tokens(len(a.ends))
 }
 
 // Text joins all tokens so far.
 func (a *Answer) Text() string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return strings.Join(a.tokens, "")
+	return string(a.text)
 }
 
 // Piece is what a reader gets at a time.
 type Piece struct {
+	// Offset is that of the first of Count tokens, which Text joins.
 	Offset unit.Tokens
-	Tokens []string
+	Count  unit.Tokens
+	Text   string
 	// Done is set on the last piece; Failure then tells how the answer ended.
 	Done    bool
 	Usage   engine.Usage
@@ -107,16 +144,28 @@
 // Read waits for tokens from offset on, or for the answer's end.
 func (a *Answer) Read(ctx context.Context, offset unit.Tokens) (Piece, error) {
 	for {
-		a.mu.Lock()
-		piece := Piece{Offset: offset, Done: a.done, Usage: a.usage, Failure: a.failure}
-		if offset < unit.Tokens(len(a.tokens)) {
-			piece.Tokens = a.tokens[offset:len(a.tokens):len(a.tokens)]
+		piece, changed := a.look(offset)
+		if changed == nil {
+			return piece, nil
 		}
-		changed := a.changed
-		a.mu.Unlock()
-		if piece.Done || len(piece.Tokens) > 0 {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Piece{}, ctx.Err()
+		}
+	}
+}
+
+// Wait waits for the answer's end, whose piece has no tokens.
+func (a *Answer) Wait(ctx context.Context) (Piece, error) {
+	for {
+		piece, changed := a.look(a.Offset())
+		if changed == nil && piece.Done {
 			return piece, nil
 		}
+		if changed == nil {
+			continue
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -124,3 +173,26 @@
 		}
 	}
 }
+
+// look gives what there is from offset on, or a channel that is closed when
+// there is more.
+func (a *Answer) look(offset unit.Tokens) (Piece, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	piece := Piece{Offset: offset, Done: a.done, Usage: a.usage, Failure: a.failure}
+	if offset < unit.Tokens(len(a.ends)) {
+		start := uint32(0)
+		if offset > 0 {
+			start = a.ends[offset-1]
+		}
+		piece.Count = unit.Tokens(len(a.ends)) - offset
+		piece.Text = string(a.text[start:])
+	}
+	if piece.Done || piece.Count > 0 {
+		return piece, nil
+	}
+	if a.changed == nil {
+		a.changed = make(chan struct{})
+	}
+	return piece, a.changed
+}
--- a/internal/request/attempt/attempt.go
+++ b/internal/request/attempt/attempt.go
@@ -17,11 +17,13 @@
 	"github.com/dandelionlift/dandelionlift/internal/request/call"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
 )
 
 // Silence is how long an attempt may go without progress.
 type Silence struct {
-	// FirstToken bounds the wait for the first frame, Between that for each next.
+	// FirstToken bounds the wait for the first new token, Between that for each
+	// next. A frame that brings nothing new is no progress.
 	FirstToken time.Duration
 	Between    time.Duration
 }
@@ -45,28 +47,40 @@
 		if err != nil {
 			return cause(ctx, lost(err))
 		}
-		timer.Reset(silence.Between)
 		if frame.Request != c.Request || frame.Incarnation != endpoint.Incarnation {
 			return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "")
 		}
 		if frame.Done {
-			return finish(a, frame)
+			return finish(a, c, frame)
 		}
-		if err := a.Add(frame.Offset, frame.Tokens); err != nil {
+		if c.MaxTokens > 0 && frame.Offset+unit.Tokens(len(frame.Tokens)) > c.MaxTokens {
+			return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "more tokens than asked for")
+		}
+		took, err := a.Add(frame.Offset, frame.Tokens)
+		if err != nil {
 			return err
 		}
+		if took > 0 {
+			timer.Reset(silence.Between)
+		}
 	}
 }
 
 // finish takes the last frame, which must stand right behind the last token.
-func finish(a *answer.Answer, last engine.Frame) error {
+func finish(a *answer.Answer, c call.Call, last engine.Frame) error {
 	if last.Usage == nil {
 		return verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "last frame without usage")
 	}
 	if last.Offset != a.Offset() {
 		return verdict.New(verdict.MayHaveRun, verdict.AnswerGap, "last frame is not behind the last token")
 	}
-	a.Finish(*last.Usage)
+	usage := *last.Usage
+	if usage.CompletionTokens != last.Offset {
+		// The engine resumed, and counted what it was handed as prompt.
+		usage.CompletionTokens = last.Offset
+		usage.PromptTokens = c.PromptTokens
+	}
+	a.Finish(usage)
 	return nil
 }
 
