--- a/internal/process/operator/command.go
+++ b/internal/process/operator/command.go
@@ -28,6 +28,10 @@
 
 // order is what a command does.
 type order struct {
+	// unseen gives odds where the subject was changed since this host's
+	// snapshot; nil has nothing to compare. A command that demands a version
+	// skips it: the version says what its operator has seen.
+	unseen func(configuration.Configuration) error
 	// change makes the next configuration, or gives odds or a refusal.
 	change func(configuration.Configuration) (configuration.Configuration, error)
 	// accepted hears of the version that the order was accepted under.
@@ -142,6 +146,11 @@
 // change is the order's change with its errors marked, and checked as a
 // configuration file is.
 func (c command) change(present configuration.Configuration) (configuration.Configuration, error) {
+	if c.ifVersion == 0 && c.order.unseen != nil {
+		if err := c.order.unseen(present); err != nil {
+			return present, &refusal{err: err}
+		}
+	}
 	next, err := c.order.change(present.Clone())
 	if err == nil {
 		err = newMistakes(present, next)
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -252,8 +252,14 @@
 	dry := bert.ask("c4", "bert", "set service drafts first_token = 2s if version 5 dry run")
 	c.Assert(dry.Error, quicktest.Matches, "refused: version 5 is not in force.*")
 
+	// Who demands the version in force has seen what is there, even where this
+	// host has not yet.
+	stale := newHost(kv)
+	c.Assert(amal.ask("c6", "amal", "set organisation sheds weight = 5").Version, quicktest.Equals, identity.Version(4))
+	c.Assert(stale.ask("c7", "bert", "set organisation sheds weight = 6 if version 4").Error, quicktest.Equals, "")
+
 	// A value that nobody else touched is not at odds.
-	c.Assert(bert.ask("c5", "bert", "set service drafts first_token = 2s").Version, quicktest.Equals, identity.Version(4))
+	c.Assert(bert.ask("c5", "bert", "set service drafts first_token = 2s").Version, quicktest.Equals, identity.Version(6))
 }
 
 func TestCommandMovesAndStops(t *testing.T) {
--- a/internal/process/operator/set.go
+++ b/internal/process/operator/set.go
@@ -26,10 +26,13 @@
 	present := o.Snapshot().Configuration
 	seen, _ := t.read(present)
 	return &order{
-		change: func(c configuration.Configuration) (configuration.Configuration, error) {
+		unseen: func(c configuration.Configuration) error {
 			if now, ok := t.read(c); !ok || now != seen {
-				return c, t.odds(present.Version, now)
+				return t.odds(present.Version, now)
 			}
+			return nil
+		},
+		change: func(c configuration.Configuration) (configuration.Configuration, error) {
 			return c, t.write(&c)
 		},
 		accepted: func(context.Context, identity.Version) error { return nil },
