--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -53,8 +53,9 @@
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
 			peer.NewRouter, newMembers, newBudget,
+			newReclaim,
 		),
-		fx.Invoke(runControl, runPeers, runFront),
+		fx.Invoke(runControl, runPeers, runReclaim, runFront),
 	)
 }
 
@@ -81,11 +82,10 @@
 
 func newClients(s settings.Entry, budget *keyvalue.Budget) clients {
 	platform := &http.Client{Transport: &http.Transport{}}
-	endpoints := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}
 	return clients{
 		Cloud:    cloud.HTTP(s.Platform.Cloud, platform),
 		KeyValue: budget.Limit(keyvalue.HTTP(s.Platform.KeyValue, platformTransport())),
-		Engine:   engine.Client{HTTP: endpoints},
+		Engine:   engine.New(nil),
 	}
 }
 
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -54,7 +54,7 @@
 // New makes a server whose work runs in group until ctx ends.
 func New(ctx context.Context, group *errgroup.Group, s settings.Entry, options ...Option) *Server {
 	server := &Server{
-		Engine:   engine.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}},
+		Engine:   engine.New(nil),
 		Meter:    meter.New(),
 		Log:      slog.Default(),
 		Silence:  attempt.Silence{FirstToken: firstTokenSilence, Between: betweenSilence},
@@ -71,7 +71,6 @@
 }
 
 const (
-	idlePerEndpoint   = 64
 	firstTokenSilence = 10 * time.Second
 	betweenSilence    = 3 * time.Second
 )
