version/migration: tell what a move would cost before anything is done

Cause: 'cost of move' answered that it was not available.

'show history of host' joins the commands that name a host with the reclaim's record, in place of the record alone.

Ruled out: guessing bytes from the load reports' cached tokens, which say nothing of reuse. Not in it: how long hosts take to start.

--- a/internal/process/entry/operators.go
+++ b/internal/process/entry/operators.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"strconv"
+	"strings"
+	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
@@ -12,6 +16,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/migration"
 )
 
 func newOperator(
@@ -24,9 +29,6 @@
 		Tokens:   s.Operator.Tokens,
 		Propose:  j.Propose,
 		History:  j.History,
-		HostHistory: func(host identity.Host) operator.Table {
-			return operator.Table{Columns: reclaim.Columns, Rows: leaving.Record.Rows(host)}
-		},
 		StopHost: func(ctx context.Context, stop configuration.Stop) error {
 			c.Post(ctx, controller.LeavingSeen{Host: stop.Host, Incarnation: stop.Incarnation})
 			return nil
@@ -38,6 +40,62 @@
 			}
 			return hosts
 		},
+		CostOfMove: func(ctx context.Context, move configuration.Move) (operator.Table, error) {
+			return costTable(leaving.CostOfMove(ctx, move)), nil
+		},
+		HostEvents: func(host identity.Host) []operator.HostEvent {
+			var events []operator.HostEvent
+			for _, e := range leaving.Record.History(host) {
+				events = append(events, operator.HostEvent{At: e.At, What: string(e.What), Target: e.Target, Detail: detail(e)})
+			}
+			return events
+		},
 		Log: log,
 	}
 }
+
+// detail tells the amounts of an event that are not zero.
+func detail(e reclaim.Event) string {
+	var parts []string
+	add := func(name string, value int64) {
+		if value != 0 {
+			parts = append(parts, fmt.Sprintf("%s=%d", name, value))
+		}
+	}
+	add("count", int64(e.Count))
+	add("tokens", int64(e.Tokens))
+	add("recomputed", int64(e.Recomputed))
+	add("bytes", int64(e.Bytes))
+	add("paid_micro", int64(e.Paid))
+	if e.Note != "" {
+		parts = append(parts, e.Note)
+	}
+	return strings.Join(parts, " ")
+}
+
+func costTable(c migration.Cost) operator.Table {
+	t := operator.Table{Columns: []string{"cost", "amount"}}
+	add := func(name, amount string) { t.Rows = append(t.Rows, []string{name, amount}) }
+	add("endpoints", strconv.Itoa(c.Endpoints))
+	add("requests_resumed", strconv.Itoa(c.Running))
+	add("price_per_hour_before", c.PriceBefore.String())
+	add("price_per_hour_after", c.PriceAfter.String())
+	add("tokens_cached", strconv.FormatInt(int64(c.Cached), 10))
+	add("tokens_carried", strconv.FormatInt(int64(c.Carried), 10))
+	add("tokens_recomputed", strconv.FormatInt(int64(c.Recomputed), 10))
+	add("tokens_recomputed_at_worst", strconv.FormatInt(int64(c.AtWorst), 10))
+	add("bytes_across", strconv.FormatInt(int64(c.Bytes), 10))
+	add("price_of_bytes", c.Volume.String())
+	add("carry_time", c.CarryTime.Round(time.Millisecond).String())
+	add("first_token_added", c.Added.String())
+	add("first_token_added_once", c.Reread.Round(time.Millisecond).String())
+	add("first_token_target", c.Target.String())
+	add("risk_to_target", string(c.Risk()))
+	if c.Unknown > 0 {
+		t.Note = fmt.Sprintf("%d endpoints did not tell what they have cached: tokens and bytes are too low", c.Unknown)
+	}
+	if c.Unpriced > 0 {
+		t.Note = strings.TrimPrefix(fmt.Sprintf("%s; %d endpoints have a class without a price there", t.Note, c.Unpriced), "; ")
+	}
+	return t
+}
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -20,6 +20,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
@@ -67,8 +68,8 @@
 	Propose func(context.Context, journal.Proposal) (configuration.Configuration, error)
 	// History gives the accepted commands that are kept, oldest first.
 	History func(context.Context) ([]journal.Entry, error)
-	// HostHistory gives what happened to a host, in order.
-	HostHistory func(identity.Host) Table
+	// HostEvents tells what this entry host saw to at a host; nil for none.
+	HostEvents func(identity.Host) []HostEvent
 	// Explain tells why a request went where it did.
 	Explain func(context.Context, identity.Request) (Table, error)
 	// CostOfMove tells what a move would cost before anything is done.
@@ -102,6 +103,15 @@
 	Version identity.Version
 }
 
+// HostEvent is one thing that happened to a host, such as the carrying of its
+// cache.
+type HostEvent struct {
+	At     time.Time
+	What   string
+	Target identity.Host
+	Detail string
+}
+
 // EntryHost is an entry host that lives.
 type EntryHost struct {
 	Host    identity.Host
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -277,6 +277,12 @@
 	c.Assert(amal.ask("s1", "amal", "stop host a-engine-1").Note, quicktest.Equals, "accepted in version 4")
 	lost = bert.ask("s2", "bert", "stop host a-engine-1")
 	c.Assert(lost.Error, quicktest.Matches, `refused: a-engine-1 is being stopped already; version 4: .* by amal at .*`)
-	c.Assert(amal.ask("", "amal", "show history of host a-engine-1").Rows, quicktest.HasLen, 1)
+	amal.HostEvents = func(of identity.Host) []operator.HostEvent {
+		return []operator.HostEvent{{At: time.Now(), What: "carried", Target: "b-engine-1", Detail: string(of)}}
+	}
+	of := amal.ask("", "amal", "show history of host a-engine-1").Rows
+	c.Assert(of, quicktest.HasLen, 2)
+	c.Assert(of[0][1:], quicktest.DeepEquals, []string{"command", "", "stop host a-engine-1 (version 4, by amal)"})
+	c.Assert(of[1][1:], quicktest.DeepEquals, []string{"carried", "b-engine-1", "a-engine-1"})
 	c.Assert(amal.ask("", "amal", "show history of move 2").Rows, quicktest.HasLen, 2)
 }
--- a/internal/process/operator/show.go
+++ b/internal/process/operator/show.go
@@ -201,9 +201,6 @@
 }
 
 func (o Operator) history(ctx context.Context, text string, h history) Table {
-	if h.Host != nil && o.HostHistory != nil {
-		return o.HostHistory(identity.Host(h.Host.Text))
-	}
 	if o.History == nil {
 		return missing("show history")
 	}
@@ -217,20 +214,42 @@
 			return refused(err)
 		}
 		cancel := fmt.Sprintf("cancel move %d", move)
-		keep = func(e journal.Entry) bool { return e.Version == move || strings.HasPrefix(e.Line, cancel) }
+		keep = func(e journal.Entry) bool { return e.Version == move || begins(e.Line, cancel) }
 	}
 	entries, err := o.History(ctx)
 	if err != nil {
 		return refused(err)
 	}
+	entries = slices.DeleteFunc(slices.Clone(entries), func(e journal.Entry) bool { return !keep(e) })
+	if h.Host != nil {
+		return o.hostHistory(identity.Host(h.Host.Text), entries)
+	}
 	t := Table{Columns: []string{"version", "at", "operator", "line", "command"}}
 	for _, e := range entries {
-		if keep(e) {
-			t.Rows = append(t.Rows, []string{
-				strconv.FormatUint(uint64(e.Version), 10), moment(e.At), e.Operator, e.Line, string(e.Command),
-			})
-		}
+		t.Rows = append(t.Rows, []string{
+			strconv.FormatUint(uint64(e.Version), 10), moment(e.At), e.Operator, e.Line, string(e.Command),
+		})
+	}
+	return t
+}
+
+// hostHistory joins commands that name a host with what this entry host saw to
+// there, in order of time.
+func (o Operator) hostHistory(host identity.Host, commands []journal.Entry) Table {
+	var events []HostEvent
+	for _, e := range commands {
+		detail := fmt.Sprintf("%s (version %d, by %s)", e.Line, e.Version, e.Operator)
+		events = append(events, HostEvent{At: e.At, What: "command", Detail: detail})
+	}
+	if o.HostEvents != nil {
+		events = append(events, o.HostEvents(host)...)
+	}
+	slices.SortStableFunc(events, func(a, b HostEvent) int { return a.At.Compare(b.At) })
+	t := Table{Columns: []string{"at", "event", "target", "detail"}}
+	for _, e := range events {
+		t.Rows = append(t.Rows, []string{moment(e.At), e.What, string(e.Target), e.Detail})
 	}
+	t.Note = "beside commands, what this entry host saw to; each leaving endpoint is seen off by one of its zone"
 	return t
 }
 
--- /dev/null
+++ b/internal/version/migration/migration_test.go
@@ -0,0 +1,99 @@
+package migration_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/carry"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/migration"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+var declared = configuration.Configuration{
+	Version: 1,
+	Zones:   []configuration.Zone{{ID: "a", Region: "north"}, {ID: "b", Region: "south"}},
+	Services: []configuration.Service{{
+		ID: "drafts", Kind: configuration.Model, FirstToken: configuration.Duration(time.Second),
+	}},
+	Prices: []configuration.Price{
+		{Zone: "a", Class: "small", Reclaimable: 300, OnDemand: 1000}, {Zone: "b", Class: "small", Reclaimable: 200, OnDemand: 900},
+	},
+	Links: []configuration.Link{{
+		From: "north", To: "south", PerGigabyte: 20_000, Latency: configuration.Duration(10 * time.Millisecond),
+	}},
+}
+
+const blockBytes = 10 * unit.Megabyte
+
+// prefix makes a chain of blocks that were all used often a moment ago.
+func prefix(first carry.Block, blocks int) []carry.Entry {
+	var list []carry.Entry
+	parent := carry.Block(0)
+	for i := range blocks {
+		block := first + carry.Block(i)
+		list = append(list, carry.Entry{Block: block, Parent: parent, Tokens: 64, Bytes: blockBytes, Uses: 8})
+		parent = block
+	}
+	return list
+}
+
+func ask(entries map[identity.Host][]carry.Entry) migration.Ask {
+	endpoints := []fleet.Endpoint{
+		{Host: "a1", Service: "drafts", Zone: "a", Class: "small", Reclaimable: true, Load: fleet.Load{Running: 2, Waiting: 1}},
+		{Host: "a2", Service: "drafts", Zone: "a", Class: "small"},
+		{Host: "a3", Service: "drafts", Zone: "a", Class: "small", Leaving: true},
+		{Host: "a4", Service: "other", Zone: "a", Class: "small"},
+		{Host: "b1", Service: "drafts", Zone: "b", Class: "small"},
+	}
+	return migration.Ask{
+		Snapshot: fleet.New("e", "a", declared, endpoints),
+		Move:     configuration.Move{Service: "drafts", From: "a", To: "b"},
+		Entries:  entries, Window: 10 * time.Second,
+		ExportPerSecond: 1000 * unit.Megabyte, ImportPerSecond: 100 * unit.Megabyte,
+		TokenWorth: 25, PrefillPerSecond: 8000,
+	}
+}
+
+func TestCostOfMoveCountsWhatLeaves(t *testing.T) {
+	c := quicktest.New(t)
+	cost := migration.Estimate(ask(map[identity.Host][]carry.Entry{"a1": prefix(100, 20), "a2": nil, "a3": prefix(500, 9)}))
+	c.Assert(cost.Endpoints, quicktest.Equals, 2)
+	c.Assert(cost.Running, quicktest.Equals, 3)
+	c.Assert(cost.PriceBefore, quicktest.Equals, unit.Money(1300))
+	c.Assert(cost.PriceAfter, quicktest.Equals, unit.Money(1100))
+	c.Assert(cost.Unknown, quicktest.Equals, 0)
+	c.Assert(cost.Cached, quicktest.Equals, unit.Tokens(20*64))
+	// 200 MB in 10 s at 100 MB/s fit whole.
+	c.Assert(cost.Carried, quicktest.Equals, cost.Cached)
+	c.Assert(cost.Bytes, quicktest.Equals, 20*blockBytes)
+	c.Assert(cost.Volume, quicktest.Equals, unit.Money(4000))
+	c.Assert(cost.CarryTime >= 2*time.Second && cost.CarryTime <= 10*time.Second, quicktest.IsTrue)
+	c.Assert(cost.Recomputed, quicktest.Equals, unit.Tokens(0))
+	c.Assert(cost.AtWorst > 0, quicktest.IsTrue)
+	c.Assert(cost.Added, quicktest.Equals, 20*time.Millisecond)
+	c.Assert(cost.Risk(), quicktest.Equals, migration.Low)
+}
+
+func TestCostOfMoveOverASlowLink(t *testing.T) {
+	c := quicktest.New(t)
+	a := ask(map[identity.Host][]carry.Entry{"a1": prefix(100, 400), "a2": prefix(900, 3)})
+	whole := migration.Estimate(a)
+	a.Window = time.Second
+	cut := migration.Estimate(a)
+	c.Assert(cut.Carried < whole.Carried, quicktest.IsTrue)
+	c.Assert(cut.Bytes <= 2*100*unit.Megabyte, quicktest.IsTrue)
+	c.Assert(cut.Recomputed > whole.Recomputed, quicktest.IsTrue)
+	c.Assert(cut.Recomputed <= cut.AtWorst, quicktest.IsTrue)
+	c.Assert(cut.Risk(), quicktest.Equals, migration.High)
+	c.Assert(whole.AtWorst, quicktest.Equals, cut.AtWorst)
+
+	a.Entries = nil
+	c.Assert(migration.Estimate(a).Unknown, quicktest.Equals, 2)
+	a.Move.To = "c"
+	c.Assert(migration.Estimate(a).Unpriced, quicktest.Equals, 2)
+}
