operator/history: demand versions that another host has shown

Change: a third of the commands demand the newest version that any host has shown, and the model compares a demand with the version in force alone. Repeats of such commands are no longer skipped.

--- a/internal/process/operator/history_test.go
+++ b/internal/process/operator/history_test.go
@@ -1,6 +1,7 @@
 package operator_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -36,14 +37,16 @@
 	outageOfService = 20 * time.Second
 )
 
-// setting is one command: a field set by an operator who had seen a version.
+// setting is one command: a field set through a host that had seen a version.
 type setting struct {
 	id identity.Command
 	// number tells the command's value from all others.
 	number int
 	field  int
 	seen   identity.Version
-	ifSeen bool
+	// demand is the version after "if version", which another host may have
+	// shown; zero for a command without.
+	demand identity.Version
 }
 
 // declared is the state that commands are checked against.
@@ -61,7 +64,11 @@
 		if first, ok := s.accepted[in.id]; ok {
 			return version == first, s
 		}
-		if s.changed[in.field] > in.seen || in.ifSeen && s.version != in.seen {
+		atOdds := s.changed[in.field] > in.seen
+		if in.demand != 0 {
+			atOdds = s.version != in.demand
+		}
+		if atOdds {
 			return version == 0, s
 		}
 		next := declared{version: s.version + 1, changed: s.changed, accepted: maps.Clone(s.accepted)}
@@ -103,7 +110,10 @@
 	}
 	c := setting{
 		id: identity.Command(fmt.Sprintf("c-%d-%d", by, number)), number: by*commandsOfEach + number,
-		field: random.IntN(fieldsAtOdds), seen: seen, ifSeen: random.IntN(3) == 0,
+		field: random.IntN(fieldsAtOdds), seen: seen,
+	}
+	if random.IntN(3) == 0 {
+		c.demand = max(s.newest.Version, start.Version)
 	}
 	s.sent = append(s.sent, c)
 	return c, false
@@ -114,7 +124,7 @@
 	defer s.mu.Unlock()
 	s.ops = append(s.ops, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: answer.Version, Return: s.clock.Add(1)})
 	first := answer.Conflict
-	if first != nil && (first.Operator == "" || first.Line == "" || first.At.IsZero() || first.Version <= in.seen) {
+	if first != nil && (first.Operator == "" || first.Line == "" || first.At.IsZero() || first.Version <= min(in.seen, cmp.Or(in.demand, in.seen))) {
 		s.unexplained++
 	}
 }
@@ -127,8 +137,8 @@
 		value = fmt.Sprint(2 + c.number)
 	}
 	line := fmt.Sprintf("set %s = %s", fields[c.field], value)
-	if c.ifSeen {
-		line += fmt.Sprintf(" if version %d", c.seen)
+	if c.demand != 0 {
+		line += fmt.Sprintf(" if version %d", c.demand)
 	}
 	return line
 }
@@ -148,9 +158,6 @@
 		if repeat {
 			// The host's own view counts for a command that was not accepted.
 			in.seen = h.current().Configuration.Version
-			if in.ifSeen {
-				continue
-			}
 		}
 		call := s.clock.Add(1)
 		answer := h.ask(in.id, fmt.Sprint("operator-", by), in.line())
