--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -252,8 +252,14 @@
 	dry := bert.ask("c4", "bert", "set service drafts first_token = 2s if version 5 dry run")
 	c.Assert(dry.Error, quicktest.Matches, "refused: version 5 is not in force.*")
 
+	// Who demands the version in force has seen what is there, even where this
+	// host has not yet.
+	stale := newHost(kv)
+	c.Assert(amal.ask("c6", "amal", "set organisation sheds weight = 5").Version, quicktest.Equals, identity.Version(4))
+	c.Assert(stale.ask("c7", "bert", "set organisation sheds weight = 6 if version 4").Error, quicktest.Equals, "")
+
 	// A value that nobody else touched is not at odds.
-	c.Assert(bert.ask("c5", "bert", "set service drafts first_token = 2s").Version, quicktest.Equals, identity.Version(4))
+	c.Assert(bert.ask("c5", "bert", "set service drafts first_token = 2s").Version, quicktest.Equals, identity.Version(6))
 }
 
 func TestCommandMovesAndStops(t *testing.T) {
@@ -277,6 +283,12 @@
 	c.Assert(amal.ask("s1", "amal", "stop host a-engine-1").Note, quicktest.Equals, "accepted in version 4")
 	lost = bert.ask("s2", "bert", "stop host a-engine-1")
 	c.Assert(lost.Error, quicktest.Matches, `refused: a-engine-1 is being stopped already; version 4: .* by amal at .*`)
-	c.Assert(amal.ask("", "amal", "show history of host a-engine-1").Rows, quicktest.HasLen, 1)
+	amal.HostEvents = func(of identity.Host) []operator.HostEvent {
+		return []operator.HostEvent{{At: time.Now(), What: "carried", Target: "b-engine-1", Detail: string(of)}}
+	}
+	of := amal.ask("", "amal", "show history of host a-engine-1").Rows
+	c.Assert(of, quicktest.HasLen, 2)
+	c.Assert(of[0][1:], quicktest.DeepEquals, []string{"command", "", "stop host a-engine-1 (version 4, by amal)"})
+	c.Assert(of[1][1:], quicktest.DeepEquals, []string{"carried", "b-engine-1", "a-engine-1"})
 	c.Assert(amal.ask("", "amal", "show history of move 2").Rows, quicktest.HasLen, 2)
 }
