process/prefix: follow cache events from the entry host, each endpoint at its home

Cause: the index existed but nothing fed it, and nothing forgot endpoints. Conclusion: wired. Not measured: bytes at the target size; the JSON of events may be above 10 KB/s a node there, and is then to be paced.

--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -53,9 +53,9 @@
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
 			peer.NewRouter, newMembers, newBudget,
-			newReclaim,
+			newReclaim, newPoller,
 		),
-		fx.Invoke(runControl, runPeers, runReclaim, runFront),
+		fx.Invoke(runControl, runPeers, runReclaim, runRouting, runFront),
 	)
 }
 
--- a/internal/process/entry/routing.go
+++ b/internal/process/entry/routing.go
@@ -25,10 +25,12 @@
 	table   atomic.Pointer[route.Table]
 	know    route.Knowledge
 	randoms sync.Pool
+	// hosts counts the entry hosts that dispatch, this one included.
+	hosts func() int
 }
 
 func newCallRouter() *router {
-	r := &router{book: dispatch.New(), index: prefix.New()}
+	r := &router{book: dispatch.New(), index: prefix.New(), hosts: func() int { return 1 }}
 	r.know = route.Knowledge{Own: r.book.Own, Cached: r.index.Cached, Holder: r.index.Holder, Hosts: 1}
 	r.randoms.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	return r
@@ -68,7 +70,9 @@
 	defer r.randoms.Put(random)
 	var d route.Decision
 	now := time.Now()
-	if !table.Choose(&ask, &r.know, now, random, &d) {
+	know := r.know
+	know.Hosts = r.hosts()
+	if !table.Choose(&ask, &know, now, random, &d) {
 		return fleet.Endpoint{}, false
 	}
 	e := table.Find(&d)
