--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -11,9 +11,13 @@
 
 // work is one accepted request with its answer.
 type work struct {
-	call    call.Call
-	answer  *answer.Answer
+	call   call.Call
+	answer *answer.Answer
+	// plain is used in place of answer by calls to a plain service.
+	plain   *plainResult
 	started time.Time
+	// endpoint is where the newest attempt is.
+	endpoint identity.Host
 	// ended is zero while the answer is being assembled.
 	ended time.Time
 }
@@ -40,12 +44,22 @@
 	if len(r.works) >= r.limit {
 		return work{}, false
 	}
-	w := work{call: c, answer: answer.New(), started: time.Now()}
+	w := work{call: c, answer: answer.New(), plain: &plainResult{done: make(chan struct{})}, started: time.Now()}
 	r.works[c.Request] = w
 	r.running++
 	return w, true
 }
 
+// place notes the endpoint of a request's newest attempt.
+func (r *requests) place(id identity.Request, endpoint identity.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w, ok := r.works[id]; ok {
+		w.endpoint = endpoint
+		r.works[id] = w
+	}
+}
+
 // end starts the time for which the answer is kept.
 func (r *requests) end(id identity.Request) {
 	r.mu.Lock()
