version/fleet: find an endpoint by binary search

Cause: each open stream asks ten times a second whether its endpoint leaves; Find walked all endpoints, and at the target a host has hundreds of streams. Change: binary search.

--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -13,6 +13,8 @@
 
 import (
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
@@ -70,7 +72,7 @@
 	byService map[identity.Service][]int
 }
 
-// New indexes endpoints for the lookups below; it keeps the slice.
+// New indexes endpoints, which must be sorted by Host; it keeps the slice.
 func New(host identity.Host, zone identity.Zone, c configuration.Configuration, endpoints []Endpoint) *Snapshot {
 	s := &Snapshot{Host: host, Zone: zone, Region: c.Region(zone), Configuration: c, Endpoints: endpoints}
 	s.byService = make(map[identity.Service][]int)
@@ -87,10 +89,11 @@
 
 // Find gives the endpoint of a host.
 func (s *Snapshot) Find(host identity.Host) (Endpoint, bool) {
-	for _, e := range s.Endpoints {
-		if e.Host == host {
-			return e, true
-		}
+	i, ok := slices.BinarySearchFunc(s.Endpoints, host, func(e Endpoint, h identity.Host) int {
+		return strings.Compare(string(e.Host), string(h))
+	})
+	if !ok {
+		return Endpoint{}, false
 	}
-	return Endpoint{}, false
+	return s.Endpoints[i], true
 }
