--- a/internal/process/entry/fixture_test.go
+++ b/internal/process/entry/fixture_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,7 +32,11 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-const callerKey = "key"
+const (
+	callerKey = "key"
+	// callerPatience bounds a call whose connection goes silent.
+	callerPatience = 2 * time.Minute
+)
 
 var platformAddress = netip.MustParseAddrPort("10.9.0.1:7001")
 
@@ -47,6 +52,8 @@
 	cancels  atomic.Int64
 	filed    *ledger.Records
 	snapshot atomic.Pointer[fleet.Snapshot]
+	// reached holds the ids of requests that ledgers ran.
+	reached sync.Map
 	// front, if set, sees calls to ledgers first; true means it answered.
 	front   func(w http.ResponseWriter, r *http.Request) bool
 	hosts   []*host
@@ -91,6 +98,7 @@
 func (d *deployment) fronted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.front == nil || !d.front(w, r) {
+			d.reached.Store(r.Header.Get(engine.RequestHeader), true)
 			next.ServeHTTP(w, r)
 		}
 	})
@@ -203,7 +211,9 @@
 
 func (d *deployment) callWith(caller int, h *host, method, path string, header http.Header, body string) reply {
 	transport := &http.Transport{DialContext: d.network.Dial(netip.AddrFrom4([4]byte{10, 5, 0, byte(caller)})), DisableKeepAlives: true}
-	request, err := http.NewRequestWithContext(d.ctx, method, "http://"+h.address.String()+path, strings.NewReader(body))
+	ctx, cancel := context.WithTimeout(d.ctx, callerPatience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.address.String()+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
 	}
--- a/internal/process/entry/resume_test.go
+++ b/internal/process/entry/resume_test.go
@@ -79,17 +79,18 @@
 		c := qt.New(t)
 		d := newDeployment(1, 2, 0, nil)
 		defer d.stop()
-		first, second := -1, -1
+		var first, second atomic.Int64
 		time.AfterFunc(2*time.Second, func() {
-			first = engineBusy(c, d)
-			address := d.snapshot.Load().Endpoints[first].Address.Addr()
+			i := engineBusy(c, d)
+			first.Store(int64(i))
+			address := d.snapshot.Load().Endpoints[i].Address.Addr()
 			d.network.SetRule(func(from, _ netip.Addr) network.Path { return network.Path{Lost: from == address} })
 			time.AfterFunc(time.Second, func() { d.network.SetRule(nil) })
 		})
-		time.AfterFunc(8*time.Second, func() { second = engineBusy(c, d) })
+		time.AfterFunc(8*time.Second, func() { second.Store(int64(engineBusy(c, d))) })
 		got, reply := d.complete(1, d.hosts[0], "history of boiler", 600)
 		c.Assert(got, qt.Equals, standinengine.Text("history of boiler", 600), qt.Commentf("%+v", reply))
-		c.Assert(second, qt.Equals, first)
+		c.Assert(second.Load(), qt.Equals, first.Load())
 		c.Assert(d.cancels.Load(), qt.Equals, int64(1))
 		c.Assert(d.computed.Totals().Starts, qt.Equals, 2)
 	})
