process/entry: hand unfinished answers to a peer, and find answers at any host

Cause: an answer lived and died with the host that took the call in, and a caller that re-attached at another host was told unknown_request.

Ruled out: asking all peers (380 calls a re-attach at the target): the request id now carries a mark of its host, and work is handed on in rendezvous order, so at most four hosts a zone and the marked one are asked. Ordering the engine to cancel at a handover: the order could meet the peer's attempt, which has the same id; the closed connection ends ours.

Change: connection/handover (connect, on the peer router) with Follow and Take; entry hands model calls over with the tokens so far shortly before an announced reclaim of its own host, and on the second stop signal; only what no peer takes is cut and named. Calls to plain services end within ten seconds and are not handed over.

Seen to fail: delivered tokens left out -> TestHandoverOfUnfinishedWork (tokens made twice); nobody asked -> that and TestHandoverFindsAnswersElsewhere; attempts ended without handover -> TestHandoverOnHurriedStop; no claim -> TestHandoverOfKilledHost.

--- a/internal/process/controller/watch.go
+++ b/internal/process/controller/watch.go
@@ -21,6 +21,8 @@
 	HostsEvery   time.Duration
 	NoticesEvery time.Duration
 	LoadsEvery   time.Duration
+	// Notice, if set, is told of each notice that was not withdrawn.
+	Notice func(cloud.Notice)
 }
 
 const (
@@ -78,6 +80,7 @@
 				"deadline", n.Deadline, "withdrawn", n.Withdrawn)
 			if !n.Withdrawn {
 				w.Controller.Post(ctx, LeavingSeen{Host: n.Host, Incarnation: n.Incarnation, Deadline: n.Deadline})
+				w.tell(n)
 			}
 			if ctx.Err() != nil {
 				return
@@ -87,6 +90,12 @@
 	})
 }
 
+func (w Watcher) tell(n cloud.Notice) {
+	if w.Notice != nil {
+		w.Notice(n)
+	}
+}
+
 func (w Watcher) loads(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -22,6 +22,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/claimer"
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
+	"github.com/dandelionlift/dandelionlift/internal/process/member"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/operator"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
@@ -94,8 +95,9 @@
 	return controller.New(s.Host, s.Zone)
 }
 
-func newWatcher(c *controller.Controller, api cloud.Client, e engine.Client, log *slog.Logger) controller.Watcher {
+func newWatcher(c *controller.Controller, api cloud.Client, e engine.Client, log *slog.Logger, server *Server) controller.Watcher {
 	return controller.Watcher{
+		Notice:     server.noticed,
 		Controller: c, Cloud: api, Engine: e, Log: log,
 		HostsEvery: hostsEvery, NoticesEvery: noticesEvery, LoadsEvery: loadsEvery,
 	}
@@ -112,9 +114,10 @@
 	}
 }
 
-func newServer(l life, s settings.Entry, c *controller.Controller, e engine.Client, m *meter.Meter, log *slog.Logger, claims *claimer.Claimer) *Server {
+func newServer(l life, s settings.Entry, c *controller.Controller, e engine.Client, m *meter.Meter, log *slog.Logger, claims *claimer.Claimer, members *member.Members) *Server {
 	server := New(l.ctx, l.group, s, WithSnapshot(c.Snapshot), WithLog(log), WithMeter(m), WithClaims(ClaimsOf(claims)))
 	server.Engine = e
+	WithPeers(Peers{Self: s.Host, Zone: s.Zone, Live: members.Live, Client: peer.Connect(s.Peer.Keys, nil)})(server)
 	return server
 }
 
--- a/internal/process/entry/assemble.go
+++ b/internal/process/entry/assemble.go
@@ -20,6 +20,38 @@
 	patience = 30 * time.Second
 )
 
+// begin assembles the answer of a work apart from its caller's connection.
+func (s *Server) begin(w work) {
+	s.group.Go(func() error {
+		defer s.requests.end(w.call.Request)
+		release, failure := s.admit(s.ctx, w.call)
+		if failure != nil {
+			w.answer.Fail(failure)
+			return nil
+		}
+		defer release()
+		ctx, stop := context.WithCancelCause(s.ctx)
+		defer stop(nil)
+		s.requests.stoppable(w.call.Request, stop)
+		s.assemble(ctx, w)
+		if !errors.Is(context.Cause(ctx), errHandover) || w.answer.Ended() {
+			return nil
+		}
+		if s.give(s.ctx, w) {
+			w.answer.Fail(verdict.New(verdict.MayHaveRun, verdict.HostStopping, "the answer goes on at another host"))
+			return nil
+		}
+		s.assemble(s.ctx, w)
+		return nil
+	})
+}
+
+// handedOver tells that the rest of a work's answer is at a peer.
+func handedOver(w work) bool {
+	failure := w.answer.Failure()
+	return failure != nil && failure.Reason == verdict.HostStopping
+}
+
 // assemble makes attempts until the answer is whole or can't be. Attempts that
 // brought tokens don't count against mostAttempts.
 func (s *Server) assemble(ctx context.Context, w work) {
@@ -39,6 +71,9 @@
 			s.retries.succeeded(w.call.Service, s.share(w.call.Service))
 			return
 		}
+		if errors.Is(context.Cause(ctx), errHandover) {
+			return
+		}
 		failure = ended(ctx, verdict.Of(err)).After(failure.Verdict)
 		s.Log.Info("attempt_failed", "request", w.call.Request, "endpoint", endpoint.Host,
 			"reason", failure.Reason, "offset", w.answer.Offset(), "error", err)
@@ -51,6 +86,9 @@
 			break
 		}
 	}
+	if errors.Is(context.Cause(ctx), errHandover) {
+		return
+	}
 	w.answer.Fail(ended(ctx, failure))
 }
 
@@ -106,6 +144,11 @@
 		return err
 	}
 	suspect := failure.Reason == verdict.EndpointSilent || failure.Reason == verdict.EndpointLost
+	if errors.Is(context.Cause(ctx), errHandover) {
+		// An order to cancel could meet the peer's attempt; the closed
+		// connection ends ours.
+		return err
+	}
 	if !suspect || ctx.Err() != nil {
 		s.group.Go(func() error {
 			s.supersede(w, endpoint)
--- a/internal/process/entry/completion.go
+++ b/internal/process/entry/completion.go
@@ -78,17 +78,7 @@
 		s.refuse(w, string(c.Request), verdict.New(verdict.NotRun, verdict.HostFull, ""))
 		return
 	}
-	s.group.Go(func() error {
-		defer s.requests.end(c.Request)
-		release, failure := s.admit(s.ctx, c)
-		if failure != nil {
-			running.answer.Fail(failure)
-			return nil
-		}
-		defer release()
-		s.assemble(s.ctx, running)
-		return nil
-	})
+	s.begin(running)
 	s.follow(w, r, running, chat, body.Stream)
 }
 
@@ -120,7 +110,7 @@
 		return call.Call{}, body, failure
 	}
 	c := call.Call{
-		Request:      identity.NewRequest(),
+		Request:      identity.NewRequestAt(s.settings.Host),
 		Deadline:     deadline,
 		Organisation: organisation,
 		Service:      body.Model,
@@ -179,6 +169,9 @@
 	}
 	id := identity.Request(mux.Vars(r)["id"])
 	found, ok := s.requests.find(id)
+	if !ok || handedOver(found) {
+		found, ok = s.locate(r.Context(), id, organisation)
+	}
 	if !ok || found.call.Organisation != organisation {
 		s.refuse(w, string(id), verdict.New(verdict.MayHaveRun, verdict.UnknownRequest, ""))
 		return
--- a/internal/process/entry/drain.go
+++ b/internal/process/entry/drain.go
@@ -17,21 +17,30 @@
 )
 
 // Drain says unready, waits out the balancer's lag, and returns when all work
-// has ended. When ctx ends first, the error names the requests that are cut.
+// has ended. When ctx ends first, work is handed to peers, and the error names the
+// requests that are cut all the same.
 func (s *Server) Drain(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.Log.Info("stop_began", "running", s.Running())
 	if !pause(ctx, time.Duration(s.settings.Stop.BalancerLag)) {
-		return s.cut(ctx)
+		return s.hurry(ctx)
 	}
 	for s.Running() > 0 {
 		if !pause(ctx, drainPoll) {
-			return s.cut(ctx)
+			return s.hurry(ctx)
 		}
 	}
 	return nil
 }
 
+// hurry hands over what it can, and then names what is cut.
+func (s *Server) hurry(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), handoverMargin)
+	defer cancel()
+	s.HandOver(limited)
+	return s.cut(ctx)
+}
+
 // cut logs each request that a hurried stop cuts off.
 func (s *Server) cut(ctx context.Context) error {
 	works := s.Work()
--- a/internal/process/entry/fixture_test.go
+++ b/internal/process/entry/fixture_test.go
@@ -20,8 +20,10 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
 	"github.com/dandelionlift/dandelionlift/internal/process/claimer"
 	"github.com/dandelionlift/dandelionlift/internal/process/entry"
+	"github.com/dandelionlift/dandelionlift/internal/process/member"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	standinengine "github.com/dandelionlift/dandelionlift/internal/standin/engine"
 	standinkv "github.com/dandelionlift/dandelionlift/internal/standin/keyvalue"
@@ -59,6 +61,8 @@
 	hosts   []*host
 	servers []*http.Server
 	pools   []*http.Transport
+	peers   []member.Peer
+	clients []*http.Client
 	group   errgroup.Group
 }
 
@@ -165,7 +169,9 @@
 	c := claimer.New(keyvalue.HTTP(platformAddress, d.pool(at)))
 	c.Log = slog.New(slog.DiscardHandler)
 	d.group.Go(func() error { return c.Run(d.ctx) })
-	s := entry.New(d.ctx, &d.group, settings.DefaultEntry(),
+	given := settings.DefaultEntry()
+	given.Host = identity.Host(fmt.Sprint("host-", i))
+	s := entry.New(d.ctx, &d.group, given,
 		entry.WithSnapshot(d.snapshot.Load), entry.WithLog(slog.New(slog.DiscardHandler)))
 	s.Engine = engine.New(d.network.Dial(at))
 	d.pools = append(d.pools, s.Engine.HTTP.Transport.(*http.Transport))
@@ -174,6 +180,7 @@
 		claims = change(s, claims)
 	}
 	entry.WithClaims(claims)(s)
+	d.join(i, s, at)
 	router := mux.NewRouter()
 	s.Routes(router)
 	h := &host{server: s, address: netip.AddrPortFrom(at, 8080)}
@@ -181,12 +188,33 @@
 	d.serve(h.address, router)
 }
 
+// join makes an entry host reachable to the others, which are all of one zone.
+func (d *deployment) join(i int, s *entry.Server, at netip.Addr) {
+	keys := peer.Keys{"peer"}
+	self := member.Peer{Host: identity.Host(fmt.Sprint("host-", i)), Zone: "zone", Address: netip.AddrPortFrom(at, 8081)}
+	d.peers = append(d.peers, self)
+	client := peer.Connect(keys, d.network.Dial(at))
+	d.clients = append(d.clients, client)
+	entry.WithPeers(entry.Peers{
+		Self: self.Host, Zone: self.Zone, Client: client, Live: func() []member.Peer { return d.peers },
+	})(s)
+	router := peer.NewRouter()
+	s.MountPeers(router)
+	server := peer.Server(router, keys)
+	d.servers = append(d.servers, server)
+	listener := d.network.Listen(self.Address)
+	d.group.Go(func() error { return server.Serve(listener) })
+}
+
 // stop ends everything; late answers included.
 func (d *deployment) stop() {
 	d.cancel()
 	for _, p := range d.pools {
 		p.CloseIdleConnections()
 	}
+	for _, c := range d.clients {
+		c.CloseIdleConnections()
+	}
 	for _, s := range d.servers {
 		s.Close()
 	}
--- /dev/null
+++ b/internal/process/entry/handover_test.go
@@ -0,0 +1,99 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	standinengine "github.com/dandelionlift/dandelionlift/internal/standin/engine"
+	"github.com/dandelionlift/dandelionlift/internal/standin/network"
+)
+
+// TestHandoverOfUnfinishedWork has a host leave while it answers: the caller
+// re-attaches at any other host and gets the whole answer, each token once.
+func TestHandoverOfUnfinishedWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(4, 2, 0, nil)
+		defer d.stop()
+		time.AfterFunc(2*time.Second, func() {
+			d.hosts[0].server.Leave(d.ctx, time.Now().Add(7*time.Second))
+			gone := d.hosts[0].address.Addr()
+			d.network.SetRule(func(from, to netip.Addr) network.Path { return network.Path{Lost: from == gone || to == gone} })
+		})
+		_, first := d.complete(1, d.hosts[0], "long history", 600)
+		c.Assert(first.reason, qt.Equals, "host_stopping")
+		for _, h := range d.hosts[1:] {
+			again := d.call(2, h, http.MethodGet, "/v1/requests/"+first.request, "", "")
+			c.Assert(completionText(again.body), qt.Equals, standinengine.Text("long history", 600), qt.Commentf("%+v", again))
+		}
+		totals := d.computed.Totals()
+		c.Assert(totals.Starts, qt.Equals, 2)
+		c.Assert(totals.Generated < 610, qt.IsTrue, qt.Commentf("%+v", totals))
+	})
+}
+
+// TestHandoverOnHurriedStop lets the second signal hand over what it would cut.
+func TestHandoverOnHurriedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(2, 1, 0, nil)
+		defer d.stop()
+		time.AfterFunc(time.Second, func() {
+			ctx, cancel := context.WithTimeout(d.ctx, time.Second)
+			defer cancel()
+			err := d.hosts[0].server.Drain(ctx)
+			c.Check(strings.Contains(err.Error(), "cuts"), qt.IsFalse)
+		})
+		_, first := d.complete(1, d.hosts[0], "long history", 600)
+		again := d.call(2, d.hosts[1], http.MethodGet, "/v1/requests/"+first.request, "", "")
+		c.Assert(completionText(again.body), qt.Equals, standinengine.Text("long history", 600))
+	})
+}
+
+// TestHandoverFindsAnswersElsewhere asks another host than the one that has the
+// answer, while it grows and after its end, and for a filing.
+func TestHandoverFindsAnswersElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(3, 1, 1, nil)
+		defer d.stop()
+		filed := d.call(1, d.hosts[0], http.MethodPost, "/v1/services/ledger/filings/f", "key", "night")
+		c.Assert(filed.status, qt.Equals, http.StatusOK)
+		again := d.call(1, d.hosts[2], http.MethodGet, "/v1/requests/"+filed.request, "", "")
+		c.Assert(again.body, qt.Equals, filed.body)
+		_, first := d.complete(1, d.hosts[0], "history", 200)
+		again = d.call(1, d.hosts[1], http.MethodGet, "/v1/requests/"+first.request, "", "")
+		c.Assert(completionText(again.body), qt.Equals, standinengine.Text("history", 200))
+		unknown := d.call(1, d.hosts[1], http.MethodGet, "/v1/requests/none", "", "")
+		c.Assert(unknown.verdict, qt.Equals, "may_have_run")
+	})
+}
+
+// TestHandoverOfKilledHost kills a host without notice right after it filed: the
+// caller's repeat under the same key elsewhere must not run it again.
+func TestHandoverOfKilledHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(2, 0, 1, nil)
+		defer d.stop()
+		gone := d.hosts[0].address.Addr()
+		d.front = func(http.ResponseWriter, *http.Request) bool {
+			d.network.SetRule(func(from, to netip.Addr) network.Path { return network.Path{Lost: from == gone || to == gone} })
+			return false
+		}
+		first := d.call(1, d.hosts[0], http.MethodPost, "/v1/services/ledger/filings/f", "key", "night")
+		c.Assert(first.err, qt.IsNotNil)
+		again := d.call(1, d.hosts[1], http.MethodPost, "/v1/services/ledger/filings/f", "key", "night")
+		c.Assert(again.verdict, qt.Equals, "may_have_run")
+		unclaimed := d.call(1, d.hosts[1], http.MethodPost, "/v1/services/ledger/filings/g", "other", "night")
+		c.Assert(unclaimed.status, qt.Equals, http.StatusOK)
+		c.Assert(d.filed.Runs("f"), qt.Equals, 1)
+	})
+}
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -32,8 +32,9 @@
 }
 
 // runPeers serves the peer listener, and closes it after the front.
-func runPeers(lc fx.Lifecycle, l life, s settings.Entry, router peer.Router, members *member.Members) {
+func runPeers(lc fx.Lifecycle, l life, s settings.Entry, router peer.Router, members *member.Members, front *Server) {
 	members.Mount(router)
+	front.MountPeers(router)
 	server := peer.Server(router, s.Peer.Keys)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	started time.Time
 	// bytes bounds what the work holds.
 	bytes int
+	// stop ends the attempts at the answer; nil before there are any.
+	stop context.CancelCauseFunc
 	// endpoint is where the newest attempt is.
 	endpoint identity.Host
 	// ended is zero while the answer is being assembled.
@@ -78,6 +81,27 @@
 	return w, true
 }
 
+// stoppable notes how to end the attempts of a work.
+func (r *requests) stoppable(id identity.Request, stop context.CancelCauseFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w, ok := r.works[id]; ok {
+		w.stop = stop
+		r.works[id] = w
+	}
+}
+
+// stopAll ends the attempts of all works that have not ended.
+func (r *requests) stopAll(cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.works {
+		if w.ended.IsZero() && w.stop != nil {
+			w.stop(cause)
+		}
+	}
+}
+
 // place notes the endpoint of a request's newest attempt.
 func (r *requests) place(id identity.Request, endpoint identity.Host) {
 	r.mu.Lock()
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -44,12 +44,14 @@
 	Silence attempt.Silence
 
 	claims   Claims
+	peers    Peers
 	settings settings.Entry
 	requests *requests
 	retries  *retries
 	group    *errgroup.Group
 	ctx      context.Context
 	stopping atomic.Bool
+	leaving  atomic.Bool
 	router   *router
 }
 
--- a/internal/request/answer/answer.go
+++ b/internal/request/answer/answer.go
@@ -129,6 +129,35 @@
 	return string(a.text)
 }
 
+// Ended tells whether the answer is whole or has failed.
+func (a *Answer) Ended() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.done
+}
+
+// Failure tells why the answer failed, or gives nil.
+func (a *Answer) Failure() *verdict.Error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.failure
+}
+
+// Tokens gives the tokens from offset on, one by one.
+func (a *Answer) Tokens(offset unit.Tokens) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var tokens []string
+	for i := offset; i < unit.Tokens(len(a.ends)); i++ {
+		start := uint32(0)
+		if i > 0 {
+			start = a.ends[i-1]
+		}
+		tokens = append(tokens, string(a.text[start:a.ends[i]]))
+	}
+	return tokens
+}
+
 // Piece is what a reader gets at a time.
 type Piece struct {
 	// Offset is that of the first of Count tokens, which Text joins.
--- a/internal/version/identity/identity.go
+++ b/internal/version/identity/identity.go
@@ -15,9 +15,11 @@
 
 import (
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 
 	"github.com/google/uuid"
+	"github.com/zeebo/xxh3"
 )
 
 // Host names one machine, entry host or endpoint, as the host list does.
@@ -67,6 +69,26 @@
 	return Request(uuid.Must(uuid.NewV7()).String())
 }
 
+// NewRequestAt mints a Request id that AcceptedAt recognises as of host.
+func NewRequestAt(host Host) Request {
+	id := uuid.Must(uuid.NewV7())
+	binary.BigEndian.PutUint32(id[hostAt:], hostMark(host))
+	return Request(id.String())
+}
+
+// AcceptedAt tells whether host may have minted r; a few other hosts may match.
+func (r Request) AcceptedAt(host Host) bool {
+	id, err := uuid.Parse(string(r))
+	return err == nil && binary.BigEndian.Uint32(id[hostAt:]) == hostMark(host)
+}
+
+// hostAt is where a request id carries the mark of its host.
+const hostAt = 12
+
+func hostMark(host Host) uint32 {
+	return uint32(xxh3.HashString(string(host)))
+}
+
 // NewCommand mints a Command id.
 func NewCommand() Command {
 	return Command(uuid.Must(uuid.NewV7()).String())
