process/claimer: let one host write a shard for all

Ruled out: a lease for the writer (the swap keeps claims right, who writes only decides how many writes there are).

Change: connection/claims offers a claim to the host that rendezvous picks among the live ones; after an error or a second the host writes itself. The writer never releases a claim that it wrote for another host. Call rates follow the shards owned: at most 146 writes a second for the fleet.

--- a/internal/process/claimer/claimer.go
+++ b/internal/process/claimer/claimer.go
@@ -33,6 +33,8 @@
 	defaultPace = 200 * time.Millisecond
 	defaultKept = time.Hour
 	waitMost    = 2 * time.Second
+	// forwardMost leaves time to write without the shard's writer.
+	forwardMost = time.Second
 	queuedAsks  = 256
 	// settleTries bounds how often a batch is offered.
 	settleTries = 16
@@ -56,6 +58,9 @@
 	// Pace is the least time between two writes to one shard.
 	Pace time.Duration
 	Log  *slog.Logger
+	// Forward, if set, offers an entry to the host that writes the shard for
+	// all. After an error this host writes itself.
+	Forward func(ctx context.Context, shard int, entry *claim.Entry, settles bool) (Result, error)
 
 	shards [claim.Shards]*shard
 }
@@ -83,6 +88,9 @@
 func (c *Claimer) Claim(ctx context.Context, wanted *claim.Entry) Result {
 	ctx, cancel := context.WithTimeout(ctx, waitMost)
 	defer cancel()
+	if result, ok := c.forward(ctx, wanted, false); ok {
+		return result
+	}
 	s := c.shards[claim.ID(wanted.Id).Shard()]
 	result := s.offer(ctx, ask{entry: wanted})
 	if result.Err != nil {
@@ -95,9 +103,31 @@
 func (c *Claimer) Settle(ctx context.Context, end *claim.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, waitMost)
 	defer cancel()
+	if _, ok := c.forward(ctx, end, true); ok {
+		return nil
+	}
 	return c.shards[claim.ID(end.Id).Shard()].offer(ctx, ask{entry: end, settles: true}).Err
 }
 
+// forward lets the writer of the shard do it, and tells whether it did.
+func (c *Claimer) forward(ctx context.Context, entry *claim.Entry, settles bool) (Result, bool) {
+	if c.Forward == nil {
+		return Result{}, false
+	}
+	limited, cancel := context.WithTimeout(ctx, forwardMost)
+	defer cancel()
+	result, err := c.Forward(limited, claim.ID(entry.Id).Shard(), entry, settles)
+	return result, err == nil && result.Err == nil
+}
+
+// Offer writes for another host. Whether the claim is used or given up is for
+// that host alone to say, so nothing is released here.
+func (c *Claimer) Offer(ctx context.Context, entry *claim.Entry, settles bool) Result {
+	ctx, cancel := context.WithTimeout(ctx, waitMost)
+	defer cancel()
+	return c.shards[claim.ID(entry.Id).Shard()].offer(ctx, ask{entry: entry, settles: settles, foreign: true})
+}
+
 // Find reads what the service holds under an id, or gives nil.
 func (c *Claimer) Find(ctx context.Context, id claim.ID) (*claim.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, waitMost)
--- a/internal/process/claimer/shard.go
+++ b/internal/process/claimer/shard.go
@@ -20,6 +20,8 @@
 	// settles records an outcome, looks only reads; neither set claims.
 	settles bool
 	looks   bool
+	// foreign asks come from another host, which alone may give the claim up.
+	foreign bool
 	// gone is done when nobody waits for the reply any more.
 	gone  context.Context
 	reply chan Result
@@ -144,7 +146,7 @@
 // owe remembers to release what a failed write may have claimed.
 func (s *shard) owe(a ask) {
 	outcome := a.settles && a.entry.State != claim.State_RELEASED
-	if a.looks || outcome || len(s.owed) >= queuedAsks {
+	if a.looks || a.foreign || outcome || len(s.owed) >= queuedAsks {
 		return
 	}
 	s.owed = append(s.owed, releases(a.entry))
--- a/internal/process/entry/claims.go
+++ b/internal/process/entry/claims.go
@@ -7,8 +7,10 @@
 
 	"go.uber.org/fx"
 
+	"github.com/dandelionlift/dandelionlift/internal/connection/claims"
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
 	"github.com/dandelionlift/dandelionlift/internal/process/claimer"
 	"github.com/dandelionlift/dandelionlift/internal/process/member"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
@@ -25,9 +27,12 @@
 	claimRetry     = time.Second
 	claimRetryMost = 4 * time.Second
 
-	// claimReads and claimWrites are what all hosts together spend on claims.
-	claimReads  = 200.0
-	claimWrites = 100.0
+	// claimReads and claimWrites are shared by all hosts, for claims that the
+	// shard's writer did not take; shardReads and shardWrites are a writer's.
+	claimReads  = 100.0
+	claimWrites = 50.0
+	shardReads  = 6.0
+	shardWrites = 6.0
 )
 
 // Claims is how calls that may not be repeated are claimed.
@@ -52,14 +57,28 @@
 // newClaimer gives the claimer call rates of its own, apart from control's.
 func newClaimer(given settings.Entry, members *member.Members, m *meter.Meter) *claimer.Claimer {
 	budget := keyvalue.NewBudget(func() keyvalue.Rates {
-		hosts := float64(max(1, len(members.Live())))
-		return keyvalue.Rates{Reads: claimReads / hosts, Writes: claimWrites / hosts}
+		hosts := writers(members.Live())
+		all, own := float64(max(1, len(hosts))), 0.0
+		for shard := range claim.Shards {
+			if claims.Writer(shard, hosts) == given.Host {
+				own++
+			}
+		}
+		return keyvalue.Rates{
+			Reads:  claimReads/all + own*shardReads,
+			Writes: claimWrites/all + own*shardWrites,
+		}
 	})
 	budget.Count = countCalls(m)
-	return claimer.New(budget.Limit(keyvalue.HTTP(given.Platform.KeyValue, platformTransport())))
+	c := claimer.New(budget.Limit(keyvalue.HTTP(given.Platform.KeyValue, platformTransport())))
+	c.Forward = ForwardClaims(Peers{
+		Self: given.Host, Zone: given.Zone, Live: members.Live, Client: peer.Connect(given.Peer.Keys, nil),
+	})
+	return c
 }
 
-func runClaims(lc fx.Lifecycle, l life, c *claimer.Claimer) {
+func runClaims(lc fx.Lifecycle, l life, router peer.Router, c *claimer.Claimer) {
+	MountClaims(router, c)
 	lc.Append(fx.Hook{OnStart: func(context.Context) error {
 		l.group.Go(func() error { return c.Run(l.ctx) })
 		return nil
--- a/internal/process/entry/fixture_test.go
+++ b/internal/process/entry/fixture_test.go
@@ -57,13 +57,14 @@
 	// reached holds the ids of requests that ledgers ran.
 	reached sync.Map
 	// front, if set, sees calls to ledgers first; true means it answered.
-	front   func(w http.ResponseWriter, r *http.Request) bool
-	hosts   []*host
-	servers []*http.Server
-	pools   []*http.Transport
-	peers   []member.Peer
-	clients []*http.Client
-	group   errgroup.Group
+	front    func(w http.ResponseWriter, r *http.Request) bool
+	hosts    []*host
+	servers  []*http.Server
+	pools    []*http.Transport
+	peers    []member.Peer
+	clients  []*http.Client
+	claimers []*claimer.Claimer
+	group    errgroup.Group
 }
 
 // host is one entry host.
@@ -180,7 +181,7 @@
 		claims = change(s, claims)
 	}
 	entry.WithClaims(claims)(s)
-	d.join(i, s, at)
+	d.join(i, s, c, at)
 	router := mux.NewRouter()
 	s.Routes(router)
 	h := &host{server: s, address: netip.AddrPortFrom(at, 8080)}
@@ -189,17 +190,21 @@
 }
 
 // join makes an entry host reachable to the others, which are all of one zone.
-func (d *deployment) join(i int, s *entry.Server, at netip.Addr) {
+func (d *deployment) join(i int, s *entry.Server, claims *claimer.Claimer, at netip.Addr) {
 	keys := peer.Keys{"peer"}
 	self := member.Peer{Host: identity.Host(fmt.Sprint("host-", i)), Zone: "zone", Address: netip.AddrPortFrom(at, 8081)}
 	d.peers = append(d.peers, self)
 	client := peer.Connect(keys, d.network.Dial(at))
 	d.clients = append(d.clients, client)
-	entry.WithPeers(entry.Peers{
+	peers := entry.Peers{
 		Self: self.Host, Zone: self.Zone, Client: client, Live: func() []member.Peer { return d.peers },
-	})(s)
+	}
+	entry.WithPeers(peers)(s)
+	claims.Forward = entry.ForwardClaims(peers)
+	d.claimers = append(d.claimers, claims)
 	router := peer.NewRouter()
 	s.MountPeers(router)
+	entry.MountClaims(router, claims)
 	server := peer.Server(router, keys)
 	d.servers = append(d.servers, server)
 	listener := d.network.Listen(self.Address)
@@ -229,7 +234,9 @@
 	request string
 	verdict string
 	reason  string
-	err     error
+	// retryAfter is in seconds, or empty.
+	retryAfter string
+	err        error
 }
 
 // call makes one call from a caller's own address.
@@ -255,6 +262,7 @@
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
 	got := reply{status: response.StatusCode, body: string(text), err: err}
+	got.retryAfter = response.Header.Get("Retry-After")
 	got.request = response.Header.Get(engine.RequestHeader)
 	var problem struct{ Verdict, Reason string }
 	if response.Header.Get("Content-Type") == "application/problem+json" && json.Unmarshal(text, &problem) == nil {
