--- a/internal/process/entry/fixture_test.go
+++ b/internal/process/entry/fixture_test.go
@@ -20,8 +20,10 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
 	"github.com/dandelionlift/dandelionlift/internal/process/claimer"
 	"github.com/dandelionlift/dandelionlift/internal/process/entry"
+	"github.com/dandelionlift/dandelionlift/internal/process/member"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	standinengine "github.com/dandelionlift/dandelionlift/internal/standin/engine"
 	standinkv "github.com/dandelionlift/dandelionlift/internal/standin/keyvalue"
@@ -55,11 +57,14 @@
 	// reached holds the ids of requests that ledgers ran.
 	reached sync.Map
 	// front, if set, sees calls to ledgers first; true means it answered.
-	front   func(w http.ResponseWriter, r *http.Request) bool
-	hosts   []*host
-	servers []*http.Server
-	pools   []*http.Transport
-	group   errgroup.Group
+	front    func(w http.ResponseWriter, r *http.Request) bool
+	hosts    []*host
+	servers  []*http.Server
+	pools    []*http.Transport
+	peers    []member.Peer
+	clients  []*http.Client
+	claimers []*claimer.Claimer
+	group    errgroup.Group
 }
 
 // host is one entry host.
@@ -165,7 +170,9 @@
 	c := claimer.New(keyvalue.HTTP(platformAddress, d.pool(at)))
 	c.Log = slog.New(slog.DiscardHandler)
 	d.group.Go(func() error { return c.Run(d.ctx) })
-	s := entry.New(d.ctx, &d.group, settings.DefaultEntry(),
+	given := settings.DefaultEntry()
+	given.Host = identity.Host(fmt.Sprint("host-", i))
+	s := entry.New(d.ctx, &d.group, given,
 		entry.WithSnapshot(d.snapshot.Load), entry.WithLog(slog.New(slog.DiscardHandler)))
 	s.Engine = engine.New(d.network.Dial(at))
 	d.pools = append(d.pools, s.Engine.HTTP.Transport.(*http.Transport))
@@ -174,6 +181,7 @@
 		claims = change(s, claims)
 	}
 	entry.WithClaims(claims)(s)
+	d.join(i, s, c, at)
 	router := mux.NewRouter()
 	s.Routes(router)
 	h := &host{server: s, address: netip.AddrPortFrom(at, 8080)}
@@ -181,12 +189,37 @@
 	d.serve(h.address, router)
 }
 
+// join makes an entry host reachable to the others, which are all of one zone.
+func (d *deployment) join(i int, s *entry.Server, claims *claimer.Claimer, at netip.Addr) {
+	keys := peer.Keys{"peer"}
+	self := member.Peer{Host: identity.Host(fmt.Sprint("host-", i)), Zone: "zone", Address: netip.AddrPortFrom(at, 8081)}
+	d.peers = append(d.peers, self)
+	client := peer.Connect(keys, d.network.Dial(at))
+	d.clients = append(d.clients, client)
+	peers := entry.Peers{
+		Self: self.Host, Zone: self.Zone, Client: client, Live: func() []member.Peer { return d.peers },
+	}
+	entry.WithPeers(peers)(s)
+	claims.Forward = entry.ForwardClaims(peers)
+	d.claimers = append(d.claimers, claims)
+	router := peer.NewRouter()
+	s.MountPeers(router)
+	entry.MountClaims(router, claims)
+	server := peer.Server(router, keys)
+	d.servers = append(d.servers, server)
+	listener := d.network.Listen(self.Address)
+	d.group.Go(func() error { return server.Serve(listener) })
+}
+
 // stop ends everything; late answers included.
 func (d *deployment) stop() {
 	d.cancel()
 	for _, p := range d.pools {
 		p.CloseIdleConnections()
 	}
+	for _, c := range d.clients {
+		c.CloseIdleConnections()
+	}
 	for _, s := range d.servers {
 		s.Close()
 	}
@@ -201,7 +234,9 @@
 	request string
 	verdict string
 	reason  string
-	err     error
+	// retryAfter is in seconds, or empty.
+	retryAfter string
+	err        error
 }
 
 // call makes one call from a caller's own address.
@@ -227,6 +262,7 @@
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
 	got := reply{status: response.StatusCode, body: string(text), err: err}
+	got.retryAfter = response.Header.Get("Retry-After")
 	got.request = response.Header.Get(engine.RequestHeader)
 	var problem struct{ Verdict, Reason string }
 	if response.Header.Get("Content-Type") == "application/problem+json" && json.Unmarshal(text, &problem) == nil {
