entry/requests: forget answers in the order of their ends

Cause: the profile of an entry host at 96 requests a second: 2.4% of its processor time was forget, which walked every kept request for each new one. Change: the ids of ended requests stand in a queue; forget takes from its front. Conclusion: taking a request in no longer depends on how many are kept.

--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -52,6 +52,8 @@
 	works map[identity.Request]work
 	// running counts works that have not ended.
 	running int
+	// ends lists the works that have, in the order of their ends.
+	ends []identity.Request
 	// bytes sums up those of all works; it stays below memoryLimit.
 	bytes int
 	limit int
@@ -123,6 +125,7 @@
 	w.ended = time.Now()
 	r.works[id] = w
 	r.running--
+	r.ends = append(r.ends, id)
 }
 
 func (r *requests) find(id identity.Request) (work, bool) {
@@ -140,10 +143,13 @@
 
 // forget drops answers that were kept long enough; mu is held.
 func (r *requests) forget(now time.Time) {
-	for id, w := range r.works {
-		if !w.ended.IsZero() && now.Sub(w.ended) > r.kept {
-			delete(r.works, id)
-			r.bytes -= w.bytes
+	for len(r.ends) > 0 {
+		w := r.works[r.ends[0]]
+		if now.Sub(w.ended) <= r.kept {
+			return
 		}
+		delete(r.works, r.ends[0])
+		r.bytes -= w.bytes
+		r.ends = r.ends[1:]
 	}
 }
