process/admission: admit by slots, fairly, within the target and the limits

Cause: every call was let in, so that overload reached the engines' queues. Change: a Gate with slots for each service, start-time fair queueing by weight and tokens, interactive before batch with a tenth kept from batch, refusal at once when the expected wait is over half the first token's target, endpoints' queues lowering the slots, token buckets by share of demand told. Proof: TestOverload*, TestFair*, TestAdmission*, each seen to fail: early refusal off, FIFO, weights ignored, no slots, a minute's patience, one class, adaption off, shares of two times, equal shares, no debt, wrong expiry, no withdrawal. Conclusion: the decisions hold; next they are wired in.

--- /dev/null
+++ b/internal/process/admission/admission_test.go
@@ -0,0 +1,376 @@
+package admission_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/admission"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+const target = 1300 * time.Millisecond
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bench is a Gate before engines that run slots calls at once and queue others
+// first come first served, in virtual time.
+type bench struct {
+	gate          *admission.Gate
+	organisations map[identity.Organisation]admission.Organisation
+
+	mu    sync.Mutex
+	slots int
+	// believed is what the Gate takes slots for, if not zero.
+	believed int
+	running  int
+	queue    []chan struct{}
+	tokens   map[identity.Organisation]unit.Tokens
+	reasons  map[verdict.Reason]int
+	// good counts calls that began within the target, by second of arrival.
+	good map[int]int
+}
+
+func newBench(slots int) *bench {
+	b := &bench{
+		slots: slots, organisations: make(map[identity.Organisation]admission.Organisation),
+		tokens: make(map[identity.Organisation]unit.Tokens), reasons: make(map[verdict.Reason]int), good: make(map[int]int),
+	}
+	service := func(identity.Service) admission.Service {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		believed := b.slots
+		if b.believed > 0 {
+			believed = b.believed
+		}
+		return admission.Service{Slots: believed, Running: b.running, Waiting: len(b.queue), FirstToken: target}
+	}
+	b.gate = admission.New(service, func(id identity.Organisation) admission.Organisation {
+		o := b.organisations[id]
+		if o.Weight == 0 {
+			o.Weight = 1
+		}
+		return o
+	})
+	return b
+}
+
+// engine runs one call for a while once it has a place.
+func (b *bench) engine(hold time.Duration) {
+	b.mu.Lock()
+	if b.running < b.slots {
+		b.running++
+		b.mu.Unlock()
+	} else {
+		place := make(chan struct{})
+		b.queue = append(b.queue, place)
+		b.mu.Unlock()
+		<-place
+	}
+	time.Sleep(hold)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+	b.promote()
+}
+
+func (b *bench) promote() {
+	for b.running < b.slots && len(b.queue) > 0 {
+		b.running++
+		close(b.queue[0])
+		b.queue = b.queue[1:]
+	}
+}
+
+func (b *bench) resize(slots int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slots = slots
+	b.promote()
+}
+
+// call makes one call and tells whether it was good and how long it waited.
+func (b *bench) call(ctx context.Context, ask admission.Ask, hold time.Duration) (*verdict.Error, time.Duration) {
+	arrived := time.Now()
+	release, failure := b.gate.Admit(ctx, ask)
+	waited := time.Since(arrived)
+	if failure != nil {
+		b.mu.Lock()
+		b.reasons[failure.Reason]++
+		b.mu.Unlock()
+		return failure, waited
+	}
+	defer release()
+	b.mu.Lock()
+	b.tokens[ask.Organisation] += ask.Tokens
+	full := b.running >= b.slots
+	b.mu.Unlock()
+	started := time.Now()
+	b.engine(hold)
+	first := time.Since(arrived) - hold
+	if full {
+		first = max(first, time.Since(started)-hold)
+	}
+	if first <= target {
+		b.mu.Lock()
+		b.good[int(arrived.Sub(epoch).Seconds())]++
+		b.mu.Unlock()
+	}
+	return nil, waited
+}
+
+var epoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// play runs body in virtual time with the Gate's clock going.
+func play(t *testing.T, b *bench, body func(ctx context.Context, group *errgroup.Group)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	run := new(errgroup.Group)
+	run.Go(func() error { return b.gate.Run(ctx) })
+	calls := new(errgroup.Group)
+	body(ctx, calls)
+	qt.Assert(t, calls.Wait(), qt.IsNil)
+	cancel()
+	qt.Assert(t, run.Wait(), qt.IsNil)
+}
+
+func sum(good map[int]int, from, to int) int {
+	n := 0
+	for second := from; second < to; second++ {
+		n += good[second]
+	}
+	return n
+}
+
+// offer sends calls at a rate by second; refused callers try three times more.
+func (b *bench) offer(ctx context.Context, group *errgroup.Group, seconds int, perSecond func(second int) float64) {
+	random := rand.New(rand.NewPCG(1, 9))
+	for time.Since(epoch) < time.Duration(seconds)*time.Second {
+		rate := perSecond(int(time.Since(epoch).Seconds()))
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		hold := time.Duration((1 + random.Float64()*2) * float64(time.Second))
+		ask := admission.Ask{Service: "s", Organisation: identity.Organisation(fmt.Sprint(random.IntN(5))), Tokens: 100}
+		pause := time.Duration(200+random.IntN(400)) * time.Millisecond
+		group.Go(func() error {
+			for range 4 {
+				if failure, _ := b.call(ctx, ask, hold); failure == nil {
+					return nil
+				}
+				time.Sleep(pause)
+			}
+			return nil
+		})
+	}
+}
+
+func goodput(t *testing.T, times float64) float64 {
+	var perSecond float64
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(60)
+		play(t, b, func(ctx context.Context, group *errgroup.Group) {
+			b.offer(ctx, group, 60, func(int) float64 { return 30 * times })
+		})
+		perSecond = float64(sum(b.good, 20, 60)) / 40
+		t.Logf("%.1f times capacity: %.1f good a second, refused %v", times, perSecond, b.reasons)
+	})
+	return perSecond
+}
+
+// Capacity is 30 calls a second. The peak is the best of the loads up to it.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	peak := 0.0
+	for _, times := range []float64{0.8, 0.9, 1, 1.1} {
+		peak = math.Max(peak, goodput(t, times))
+	}
+	for _, times := range []float64{2, 5} {
+		got := goodput(t, times)
+		qt.Check(t, got >= 0.9*peak, qt.IsTrue, qt.Commentf("%.1f at %.0f times, peak %.1f", got, times, peak))
+	}
+}
+
+// A third of the capacity is lost for 30 s at 0.9 of it; 10 s after it is back,
+// goodput is what it was and nothing is left in the queues.
+func TestOverloadEndsWithItsCause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(60)
+		play(t, b, func(ctx context.Context, group *errgroup.Group) {
+			group.Go(func() error {
+				time.Sleep(30 * time.Second)
+				b.resize(40)
+				time.Sleep(30 * time.Second)
+				b.resize(60)
+				time.Sleep(5 * time.Second)
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				c.Check(len(b.queue) < 6, qt.IsTrue, qt.Commentf("%d queued at engines", len(b.queue)))
+				return nil
+			})
+			b.offer(ctx, group, 100, func(int) float64 { return 27 })
+		})
+		before, during, after := sum(b.good, 10, 30), sum(b.good, 35, 60), sum(b.good, 70, 90)
+		t.Logf("good a second: before %.1f, during %.1f, after %.1f; refused %v", float64(before)/20, float64(during)/25, float64(after)/20, b.reasons)
+		c.Check(float64(during)/25 >= 0.9*20, qt.IsTrue)
+		c.Check(float64(after) >= 0.9*float64(before), qt.IsTrue)
+	})
+}
+
+// The Gate believes in half as many slots again as there are, so that a queue
+// would stand at the engines for good; their reports bring it down.
+func TestOverloadWithSlotsOverestimated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(60)
+		b.believed = 90
+		play(t, b, func(ctx context.Context, group *errgroup.Group) {
+			b.offer(ctx, group, 60, func(int) float64 { return 60 })
+		})
+		got := float64(sum(b.good, 20, 60)) / 40
+		t.Logf("%.1f good a second of 30", got)
+		qt.Check(t, got >= 0.9*30, qt.IsTrue)
+	})
+}
+
+// Two large organisations want all there is; three small ones want a tenth of
+// capacity each, which is less than their share, and get it.
+func TestFairLargeDoNotStarveSmall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(60)
+		refused := make(map[identity.Organisation]int)
+		var mu sync.Mutex
+		play(t, b, func(ctx context.Context, group *errgroup.Group) {
+			random := rand.New(rand.NewPCG(1, 3))
+			for time.Since(epoch) < 40*time.Second {
+				time.Sleep(time.Duration(random.ExpFloat64() / 129 * float64(time.Second)))
+				id := identity.Organisation([]string{"big1", "big2"}[random.IntN(2)])
+				if random.Float64() < 9.0/129 {
+					id = identity.Organisation(fmt.Sprint("small", random.IntN(3)))
+				}
+				hold := time.Duration((1 + 2*random.Float64()) * float64(time.Second))
+				group.Go(func() error {
+					if failure, _ := b.call(ctx, admission.Ask{Service: "s", Organisation: id, Tokens: 100}, hold); failure != nil {
+						mu.Lock()
+						refused[id]++
+						mu.Unlock()
+					}
+					return nil
+				})
+			}
+		})
+		for _, id := range []identity.Organisation{"small0", "small1", "small2"} {
+			share := float64(refused[id]) / (float64(refused[id]) + float64(b.tokens[id])/100)
+			c.Check(share <= 0.05, qt.IsTrue, qt.Commentf("%s: %.2f refused", id, share))
+		}
+		big := b.tokens["big1"] + b.tokens["big2"]
+		c.Check(float64(big)/100/40 >= 0.9*21, qt.IsTrue, qt.Commentf("not work-conserving: %d tokens", big))
+		t.Logf("tokens %v, refused %v", b.tokens, refused)
+	})
+}
+
+// While both wait tokens go by weight, whatever a call's size.
+func TestFairTokensByWeight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(20)
+		b.organisations["a"] = admission.Organisation{Weight: 3}
+		play(t, b, func(ctx context.Context, group *errgroup.Group) {
+			limited, cancel := context.WithTimeout(ctx, 10*time.Second)
+			defer cancel()
+			for range 20 {
+				group.Go(func() error {
+					b.call(ctx, admission.Ask{Service: "s", Organisation: "c", Batch: true}, time.Second)
+					return nil
+				})
+			}
+			synctest.Wait()
+			for i := range 700 {
+				id, tokens := identity.Organisation("a"), unit.Tokens(100)
+				if i%2 == 0 {
+					id, tokens = "b", 400
+				}
+				group.Go(func() error {
+					b.call(limited, admission.Ask{Service: "s", Organisation: id, Tokens: tokens, Batch: true}, time.Second)
+					return nil
+				})
+			}
+			<-limited.Done()
+		})
+		ratio := float64(b.tokens["a"]) / float64(b.tokens["b"])
+		c.Check(ratio > 2.5 && ratio < 3.5, qt.IsTrue, qt.Commentf("%.2f", ratio))
+	})
+}
+
+// Batch calls fill what interactive calls leave, and never make them wait.
+func TestAdmissionBatchWaitsAndInteractiveDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(40)
+		var mu sync.Mutex
+		var longest time.Duration
+		batches := 0
+		play(t, b, func(ctx context.Context, group *errgroup.Group) {
+			for range 600 {
+				group.Go(func() error {
+					if failure, _ := b.call(ctx, admission.Ask{Service: "s", Organisation: "night", Tokens: 100, Batch: true}, 2*time.Second); failure == nil {
+						mu.Lock()
+						batches++
+						mu.Unlock()
+					}
+					return nil
+				})
+			}
+			for range 200 {
+				time.Sleep(200 * time.Millisecond)
+				group.Go(func() error {
+					failure, waited := b.call(ctx, admission.Ask{Service: "s", Organisation: "day", Tokens: 100}, time.Second)
+					mu.Lock()
+					defer mu.Unlock()
+					longest = max(longest, waited)
+					c.Check(failure == nil, qt.IsTrue)
+					return nil
+				})
+			}
+		})
+		c.Check(longest <= 300*time.Millisecond, qt.IsTrue, qt.Commentf("an interactive call waited %s", longest))
+		c.Check(batches, qt.Equals, 600)
+	})
+}
+
+// Refusals are NotRun, come early, and no wait outlasts its bound or deadline.
+func TestAdmissionRefusesEarlyAndBoundsTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(1)
+		play(t, b, func(ctx context.Context, group *errgroup.Group) {
+			group.Go(func() error { b.call(ctx, admission.Ask{Service: "s", Organisation: "a"}, 10*time.Minute); return nil })
+			time.Sleep(time.Second)
+			failure, waited := b.call(ctx, admission.Ask{Service: "s", Organisation: "a"}, 0)
+			c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
+			c.Check(failure.Reason, qt.Equals, verdict.TargetOutOfReach)
+			c.Check(failure.RetryAfter > 0, qt.IsTrue)
+			c.Check(waited, qt.Equals, time.Duration(0))
+			failure, waited = b.call(ctx, admission.Ask{Service: "s", Organisation: "a", Batch: true}, 0)
+			c.Check(failure.Reason, qt.Equals, verdict.QueueTimeout)
+			c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
+			c.Check(waited <= time.Minute+200*time.Millisecond, qt.IsTrue)
+			failure, waited = b.call(ctx, admission.Ask{Service: "s", Organisation: "a", Batch: true, Deadline: time.Now().Add(5 * time.Second)}, 0)
+			c.Check(failure != nil, qt.IsTrue)
+			c.Check(waited <= 5200*time.Millisecond, qt.IsTrue)
+			gone, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			failure, _ = b.call(gone, admission.Ask{Service: "s", Organisation: "a", Batch: true}, 0)
+			c.Check(failure.Reason, qt.Equals, verdict.CallerGone)
+			c.Check(b.gate.Waiting("s"), qt.Equals, 0)
+		})
+	})
+}
--- /dev/null
+++ b/internal/process/admission/limits_test.go
@@ -0,0 +1,135 @@
+package admission_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/admission"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+const (
+	limit     = 100_000
+	callSize  = 300
+	lasting   = 40
+	windowing = 10
+)
+
+// limited plays hosts that share one organisation's limit and want it three
+// times. pick chooses the host of a call; heard tells whether a host hears.
+func limited(t *testing.T, hosts int, pick func(second int, random *rand.Rand) int, heard func(second, host int) bool) (bySecond []int) {
+	bySecond = make([]int, lasting)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		group := new(errgroup.Group)
+		gates := make([]*admission.Gate, hosts)
+		for i := range gates {
+			gates[i] = admission.New(
+				func(identity.Service) admission.Service { return admission.Service{Slots: 1 << 20, FirstToken: target} },
+				func(identity.Organisation) admission.Organisation {
+					return admission.Organisation{Weight: 1, TokensPerSecond: limit}
+				})
+			group.Go(func() error { return gates[i].Run(ctx) })
+		}
+		random := rand.New(rand.NewPCG(1, uint64(hosts)))
+		for second := range lasting {
+			exchange(gates, func(host int) bool { return heard(second, host) })
+			until := time.Now().Add(time.Second)
+			for time.Now().Before(until) {
+				time.Sleep(time.Second * callSize / limit / 3)
+				ask := admission.Ask{Service: "s", Organisation: "o", Tokens: callSize}
+				if release, failure := gates[pick(second, random)].Admit(ctx, ask); failure == nil {
+					bySecond[second] += callSize
+					release()
+				}
+			}
+		}
+		cancel()
+		qt.Assert(t, group.Wait(), qt.IsNil)
+	})
+	return bySecond
+}
+
+// exchange lets each host that hears know what all the others told.
+func exchange(gates []*admission.Gate, heard func(int) bool) {
+	told := make([]admission.PeerDemand, len(gates))
+	for i, g := range gates {
+		told[i] = admission.PeerDemand{Host: identity.Host(fmt.Sprint(i)), Demands: g.Demand()}
+	}
+	for i, g := range gates {
+		if heard(i) {
+			others := append(append([]admission.PeerDemand(nil), told[:i]...), told[i+1:]...)
+			g.SetPeers(others)
+		}
+	}
+}
+
+// overshoot is the most that a window had over the limit, as a share of it.
+func overshoot(bySecond []int, from int) (worst, mean float64) {
+	total := 0
+	for i := from; i+windowing <= len(bySecond); i++ {
+		n := 0
+		for _, tokens := range bySecond[i : i+windowing] {
+			n += tokens
+		}
+		worst = max(worst, float64(n)/(limit*windowing)-1)
+	}
+	for _, tokens := range bySecond[from:] {
+		total += tokens
+	}
+	return worst, float64(total)/(limit*float64(len(bySecond)-from)) - 1
+}
+
+// Limits hold over all hosts, from the first second on, when demand moves from
+// one half of the hosts to the other, and when a tenth of them hear nothing.
+func TestAdmissionLimitHoldsOverAllHosts(t *testing.T) {
+	for _, hosts := range []int{8, 380} {
+		any := func(_ int, random *rand.Rand) int { return random.IntN(hosts) }
+		moving := func(second int, random *rand.Rand) int {
+			return random.IntN(hosts/2) + hosts/2*(second/20%2)
+		}
+		always := func(int, int) bool { return true }
+		cutOff := func(second, host int) bool { return second < 20 || host >= (hosts+9)/10 }
+		for _, run := range []struct {
+			name  string
+			pick  func(int, *rand.Rand) int
+			heard func(int, int) bool
+		}{{"even", any, always}, {"moving", moving, always}, {"cut_off", any, cutOff}} {
+			t.Run(fmt.Sprintf("hosts=%d/%s", hosts, run.name), func(t *testing.T) {
+				bySecond := limited(t, hosts, run.pick, run.heard)
+				worst, mean := overshoot(bySecond, 0)
+				_, settled := overshoot(bySecond, 10)
+				t.Logf("over the limit: %.1f%% in the worst %d s, %.1f%% in all, %.1f%% after 10 s", 100*worst, windowing, 100*mean, 100*settled)
+				qt.Check(t, mean <= 0.1, qt.IsTrue)
+				qt.Check(t, settled >= -0.15, qt.IsTrue, qt.Commentf("the limit is not reached"))
+			})
+		}
+	}
+}
+
+// A call larger than what a host's bucket ever holds is admitted, and paid for
+// by waiting.
+func TestAdmissionLimitTakesLargeCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(100)
+		b.organisations["o"] = admission.Organisation{Weight: 1, TokensPerSecond: 100}
+		play(t, b, func(ctx context.Context, group *errgroup.Group) {
+			admitted := unit.Tokens(0)
+			for time.Since(epoch) < 100*time.Second {
+				if failure, _ := b.call(ctx, admission.Ask{Service: "s", Organisation: "o", Tokens: 2000}, 0); failure == nil {
+					admitted += 2000
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			qt.Check(t, admitted >= 8000 && admitted <= 12_000, qt.IsTrue, qt.Commentf("%d tokens in 100 s", admitted))
+		})
+	})
+}
