entry/routing: admit by the gate, remember decisions, answer explain

Cause: admission and the record of decisions stood beside the running host. Ruled out: looking organisations up in the configuration for each call, a walk over 5,000; shares by live members, which a host that is cut off would lose. Proof: TestExplain*; the entry tests of the request path pass over it. Measured: go test -race of explain, entry and admission: ok. Conclusion: wired. Demand is not told between hosts yet: that needs a field in the heartbeat.

--- a/internal/process/admission/limits.go
+++ b/internal/process/admission/limits.go
@@ -172,13 +172,21 @@
 	return list
 }
 
+// SetHosts sets how many entry hosts there are by the host list. While no
+// demand is known each has an equal share.
+func (g *Gate) SetHosts(hosts int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state.limits.hosts = max(1, hosts)
+}
+
 // SetPeers takes what all other live hosts told. A host that hears of none any
 // more doesn't call it, and so keeps its last shares.
 func (g *Gate) SetPeers(peers []PeerDemand) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := &g.state.limits
-	l.hosts = len(peers) + 1
+	l.hosts = max(l.hosts, len(peers)+1)
 	clear(l.mine)
 	maps.Copy(l.mine, l.told)
 	clear(l.peers)
--- a/internal/process/entry/caches.go
+++ b/internal/process/entry/caches.go
@@ -73,23 +73,30 @@
 }
 
 // runRouting keeps what routing knows beside the snapshot.
-func runRouting(lc fx.Lifecycle, l life, s *Server, p *prefix.Poller, members *member.Members) {
+func runRouting(lc fx.Lifecycle, l life, s *Server, p *prefix.Poller, c *controller.Controller, members *member.Members) {
 	s.router.hosts = func() int { return len(members.Live()) }
 	lc.Append(fx.Hook{OnStart: func(context.Context) error {
 		l.group.Go(func() error { return p.Run(l.ctx) })
-		l.group.Go(func() error { return s.router.forget(l.ctx) })
+		l.group.Go(func() error { return s.router.gate.Run(l.ctx) })
+		l.group.Go(func() error { return s.router.tend(l.ctx, c) })
 		return nil
 	}})
 }
 
-// forget drops what was counted of endpoints long gone, until ctx ends.
-func (r *router) forget(ctx context.Context) error {
-	ticker := time.NewTicker(forgetEvery)
+// tend follows the number of entry hosts by the host list, which a host that is
+// cut off keeps, and forgets endpoints long gone, until ctx ends.
+func (r *router) tend(ctx context.Context, c *controller.Controller) error {
+	ticker := time.NewTicker(hostsEvery)
 	defer ticker.Stop()
+	forgotten := time.Now()
 	for {
 		select {
 		case now := <-ticker.C:
-			r.book.Forget(now)
+			r.gate.SetHosts(len(c.EntryHosts()))
+			if now.Sub(forgotten) > forgetEvery {
+				r.book.Forget(now)
+				forgotten = now
+			}
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/process/entry/operators.go
+++ b/internal/process/entry/operators.go
@@ -50,7 +50,8 @@
 			}
 			return events
 		},
-		Log: log,
+		Explain: server.Explain,
+		Log:     log,
 	}
 }
 
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -65,8 +65,8 @@
 		retries:  newRetries(),
 		group:    group,
 		ctx:      ctx,
-		router:   newCallRouter(),
 	}
+	server.router = newCallRouter(server)
 	for _, option := range options {
 		option(server)
 	}
--- /dev/null
+++ b/internal/process/explain/explain_test.go
@@ -0,0 +1,71 @@
+package explain_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/explain"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/route"
+)
+
+var at = time.Unix(1000, 0)
+
+func snapshot() *fleet.Snapshot {
+	c := configuration.Configuration{Services: []configuration.Service{{ID: "s", Kind: configuration.Model}}}
+	var list []fleet.Endpoint
+	for i := range 5 {
+		list = append(list, fleet.Endpoint{
+			Host: identity.Host(fmt.Sprint("e", i)), Incarnation: identity.Incarnation(fmt.Sprint(i)), Zone: "z", Service: "s",
+			Load: fleet.Load{At: at, Running: i},
+		})
+	}
+	return fleet.New("h", "z", c, list)
+}
+
+// The row that says "chosen" names the endpoint that was, it has the lowest sum,
+// and each row's terms add up to its sum.
+func TestExplainSaysWhyTheWinnerWon(t *testing.T) {
+	c := qt.New(t)
+	m, s := explain.New(), snapshot()
+	for seed := range uint64(100) {
+		var d route.Decision
+		tbl := route.New(s, nil, at, nil)
+		c.Assert(tbl.Choose(&route.Ask{Service: "s", PromptTokens: 100, MaxTokens: 10}, &route.Knowledge{}, at, rand.New(rand.NewPCG(seed, 1)), &d), qt.IsTrue)
+		id := identity.Request(fmt.Sprint(seed))
+		m.Chose(id, s, &d, at)
+		m.Refused(id, "queue_timeout", at)
+		r, ok := m.Explain(id)
+		c.Assert(ok, qt.IsTrue)
+		rows := r.Rows()
+		c.Assert(rows, qt.HasLen, d.Count+1)
+		for i, row := range rows {
+			c.Assert(row, qt.HasLen, len(explain.Columns))
+			c.Assert(row[len(row)-1], qt.Matches, map[bool]string{true: "chosen.*", false: ".*above.*|refused: queue_timeout"}[i == 0])
+		}
+		c.Assert(rows[0][2], qt.Equals, string(tbl.Find(&d).Host))
+	}
+}
+
+func TestExplainForgetsTheOldest(t *testing.T) {
+	c := qt.New(t)
+	m := explain.New()
+	for i := range 20_000 {
+		m.Refused(identity.Request(fmt.Sprint(i)), "full", at)
+	}
+	held := 0
+	for i := range 20_000 {
+		if r, ok := m.Explain(identity.Request(fmt.Sprint(i))); ok {
+			held++
+			c.Assert(r.Request, qt.Equals, identity.Request(fmt.Sprint(i)))
+			c.Assert(i >= 20_000-4096, qt.IsTrue)
+		}
+	}
+	c.Assert(held, qt.Equals, 4096)
+}
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -92,6 +92,46 @@
 	return list
 }
 
+// Capacity tells how many calls the endpoints of a service can run within its
+// target, and what they report to run and to have waiting.
+func (t *Table) Capacity(service identity.Service) (slots, running, waiting int) {
+	g := t.groups[service]
+	if g == nil {
+		return 0, 0, 0
+	}
+	each := slotsEach(g.service)
+	for _, e := range g.entries {
+		load := t.snapshot.Endpoints[e.index].Load
+		running += load.Running
+		waiting += load.Waiting
+		if load.Waiting > 0 && load.Running > 0 {
+			slots += min(each, load.Running)
+			continue
+		}
+		slots += each
+	}
+	return slots, running, waiting
+}
+
+// slotsEach is how many calls one endpoint runs before the time between tokens
+// is over the target while a prompt is read.
+func slotsEach(s configuration.Service) int {
+	if s.Kind == configuration.Plain {
+		return plainSlots
+	}
+	between := millis(time.Duration(s.BetweenTokens))
+	if between == 0 {
+		return unknownSlots
+	}
+	return max(fewestSlots, int((between-tokenMillis-stepTokens/prefillPerMilli)/tokenEachMillis))
+}
+
+const (
+	plainSlots   = 256
+	unknownSlots = 16
+	fewestSlots  = 4
+)
+
 // Active lists the indexes into the snapshot's Endpoints that get a service's
 // work first.
 func (t *Table) Active(service identity.Service) []int {
