--- a/internal/process/admission/limits.go
+++ b/internal/process/admission/limits.go
@@ -61,6 +61,10 @@
 	tellEvery  = time.Second
 	// burst is the time for which unused tokens are kept.
 	burst = time.Second
+	// unknownShares is how many equal shares of a service's slots a host
+	// takes while nobody told demand: callers may come to a few hosts only, and
+	// endpoints' queues bring the slots down.
+	unknownShares = 2
 	// floorShare is the part of an equal share that a host has in any case.
 	floorShare = 0.1
 )
@@ -118,6 +122,9 @@
 	}
 	equal := 1 / float64(l.hosts)
 	own, others := float64(l.mine[k]), float64(l.peers[k])
+	if own+others == 0 && k.organisation == "" {
+		return min(1, unknownShares*equal)
+	}
 	if own+others == 0 {
 		return equal
 	}
--- a/internal/process/admission/state.go
+++ b/internal/process/admission/state.go
@@ -41,8 +41,8 @@
 	factor float64
 }
 
-func (s *service) waiting() int {
-	return s.queues[interactive].length + s.queues[batch].length
+func (v *service) waiting() int {
+	return v.queues[interactive].length + v.queues[batch].length
 }
 
 // ticket is one call's place; decided is set once, before done is closed.
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -54,7 +54,7 @@
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
 			peer.NewRouter, newMembers, newBudget, newClaimer,
-			newReclaim, newPoller,
+			newReclaim, newPoller, newGate,
 		),
 		fx.Invoke(runControl, runClaims, runPeers, runReclaim, runRouting, runFront),
 	)
--- a/internal/process/entry/caches.go
+++ b/internal/process/entry/caches.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/process/admission"
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/member"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
@@ -72,6 +73,9 @@
 	return blocks
 }
 
+// newGate gives the heartbeats what tells and hears demand.
+func newGate(s *Server) *admission.Gate { return s.router.gate }
+
 // runRouting keeps what routing knows beside the snapshot.
 func runRouting(lc fx.Lifecycle, l life, s *Server, p *prefix.Poller, c *controller.Controller, members *member.Members) {
 	s.router.hosts = func() int { return len(members.Live()) }
--- a/internal/process/entry/routing.go
+++ b/internal/process/entry/routing.go
@@ -45,13 +45,19 @@
 	return r
 }
 
+// A table of many endpoints is used for tableKept though there is a newer
+// snapshot, since its making costs half a microsecond an endpoint.
+const (
+	tableKept     = 100 * time.Millisecond
+	manyEndpoints = 200
+)
+
 // prepared gives the table of a snapshot, made once for each.
 func (r *router) prepared(s *fleet.Snapshot) *route.Table {
-	before := r.table.Load()
-	if before != nil && before.Snapshot() == s {
+	before, now := r.table.Load(), time.Now()
+	if before != nil && (before.Snapshot() == s || len(s.Endpoints) >= manyEndpoints && now.Sub(before.At()) < tableKept) {
 		return before
 	}
-	now := time.Now()
 	t := route.New(s, before, now, func(i identity.Incarnation) bool { return r.book.Failing(i, now) })
 	r.table.Store(t)
 	return t
--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -78,7 +78,8 @@
 	e := &c.group.entries[i]
 	endpoint := &c.table.snapshot.Endpoints[e.index]
 	running, backlog := c.load(endpoint)
-	uncached := float64(c.ask.PromptTokens - c.cached(endpoint, guess))
+	held, trust := c.held(endpoint)
+	uncached := float64(c.ask.PromptTokens) - c.cached(held, trust, guess)
 	output := float64(c.ask.MaxTokens) * answerShare
 	service := &c.group.service
 	without := c.know.Without
@@ -101,7 +102,7 @@
 		t.Link = service.CostWeight * e.link * (float64(c.ask.PromptTokens)*bytesPerToken + output*bytesPerFrame)
 	}
 	if without&Recompute == 0 {
-		t.Recompute = service.RecomputeWeight * (uncached + c.evicted(endpoint))
+		t.Recompute = service.RecomputeWeight * (uncached + c.evicted(endpoint, held, trust))
 	}
 	if without&Target == 0 {
 		t.Target = c.target(wait, running)
@@ -166,26 +167,31 @@
 	return fresh*reported + (1-fresh)*expected, fresh * backlog
 }
 
+// held tells what is known of the prompt's leading tokens on an endpoint, and
+// the trust in it.
+func (c *chooser) held(endpoint *fleet.Endpoint) (tokens, trust float64) {
+	if c.know.Cached == nil || len(c.ask.Blocks) == 0 {
+		return 0, 0
+	}
+	n, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
+	return float64(n), trust
+}
+
 // cached estimates the leading prompt tokens that an endpoint holds.
-func (c *chooser) cached(endpoint *fleet.Endpoint, guess float64) unit.Tokens {
+func (c *chooser) cached(held, trust, guess float64) float64 {
 	total := float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
-	if c.know.Cached == nil || total == 0 {
-		return unit.Tokens(guess * total)
-	}
-	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
-	known := trust * float64(held)
-	return unit.Tokens(known + guess*(total-known))
+	known := trust * held
+	return known + guess*(total-known)
 }
 
 // evicted estimates how many tokens that others need would be lost by storing
 // the prompt: the fuller the cache, the more of them.
-func (c *chooser) evicted(endpoint *fleet.Endpoint) float64 {
+func (c *chooser) evicted(endpoint *fleet.Endpoint, held, trust float64) float64 {
 	report := &endpoint.Load
-	if report.CacheCapacity == 0 || c.know.Cached == nil || len(c.ask.Blocks) == 0 {
+	if report.CacheCapacity == 0 || len(c.ask.Blocks) == 0 {
 		return 0
 	}
-	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
-	stored := trust * trust * float64(c.ask.PromptTokens-held)
+	stored := trust * trust * (float64(c.ask.PromptTokens) - held)
 	full := float64(report.CachedTokens) / float64(report.CacheCapacity)
 	return evictShare * stored * full * full
 }
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -26,6 +26,8 @@
 	service configuration.Service
 	// entries is sorted by price and holds none that leaves or is ejected.
 	entries []entry
+	// hashes are those of entries, side by side for rendezvous.
+	hashes []uint64
 	// active counts the leading entries that get work first, at least 1 unless
 	// entries is empty.
 	active int
@@ -80,6 +82,9 @@
 // Snapshot is what the table was made from.
 func (t *Table) Snapshot() *fleet.Snapshot { return t.snapshot }
 
+// At is when the table was made.
+func (t *Table) At() time.Time { return t.at }
+
 // Serving lists the indexes into the snapshot's Endpoints that can get a
 // service's work, cheapest first.
 func (t *Table) Serving(service identity.Service) []int {
@@ -157,6 +162,7 @@
 	for i, e := range g.entries {
 		endpoint := &s.Endpoints[e.index]
 		g.byIncarnation[endpoint.Incarnation] = i
+		g.hashes = append(g.hashes, e.hash)
 		if endpoint.Zone == s.Zone {
 			g.near = append(g.near, i)
 		}
@@ -239,15 +245,17 @@
 func (g *group) rendezvous(key uint64) (first, second int) {
 	first, second = -1, -1
 	var high, next uint64
-	for i := range g.entries[:g.active] {
-		rank := mix(key ^ g.entries[i].hash)
-		switch {
-		case first < 0 || rank > high:
+	for i, hash := range g.hashes[:g.active] {
+		rank := mix(key ^ hash)
+		if second >= 0 && rank <= next {
+			continue
+		}
+		if first < 0 || rank > high {
 			second, next = first, high
 			first, high = i, rank
-		case second < 0 || rank > next:
-			second, next = i, rank
+			continue
 		}
+		second, next = i, rank
 	}
 	return first, second
 }
