--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -260,9 +261,8 @@
 	return first, second
 }
 
-// mix spreads the bits of x, as in the finaliser of SplitMix64.
+// mix spreads the bits of x by a folded product.
 func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	high, low := bits.Mul64(x, 0x9e3779b97f4a7c15)
+	return high ^ low
 }
