process/admission: hold limits over zones whose demand isn't heard

Cause: heartbeats will tell demand within a zone; with shares of that zone alone three zones would let in three times an organisation's limit. Ruled out: waiting for all zones' demand, which a cut-off zone never has. Change: hosts that are not heard are taken to want as much as the others on average; a told demand may stand for several hosts.

--- a/internal/process/admission/limits.go
+++ b/internal/process/admission/limits.go
@@ -20,9 +20,11 @@
 	TokensPerSecond unit.Tokens
 }
 
-// PeerDemand is what another host told last.
+// PeerDemand is what another host told last, or several hosts together.
 type PeerDemand struct {
-	Host    identity.Host
+	Host identity.Host
+	// Hosts is how many it stands for; zero means one.
+	Hosts   int
 	Demands []Demand
 }
 
@@ -40,8 +42,10 @@
 	told  map[key]unit.Tokens
 	mine  map[key]unit.Tokens
 	peers map[key]unit.Tokens
-	hosts int
-	next  time.Time
+	// hosts counts all entry hosts, heard those whose demand is known, this
+	// one included. The others are taken to want as much as those on average.
+	hosts, heard int
+	next         time.Time
 }
 
 // rate is a mean that decays with rateWindow.
@@ -72,7 +76,7 @@
 func newLimits() limits {
 	return limits{
 		wants: make(map[key]*rate), buckets: make(map[identity.Organisation]*bucket),
-		told: make(map[key]unit.Tokens), mine: make(map[key]unit.Tokens), peers: make(map[key]unit.Tokens), hosts: 1,
+		told: make(map[key]unit.Tokens), mine: make(map[key]unit.Tokens), peers: make(map[key]unit.Tokens), hosts: 1, heard: 1,
 	}
 }
 
@@ -128,7 +132,8 @@
 	if own+others == 0 {
 		return equal
 	}
-	return max(floorShare*equal, own/(own+others))
+	unheard := max(1, float64(l.hosts)/float64(l.heard))
+	return max(floorShare*equal, own/((own+others)*unheard))
 }
 
 // debt is how long an organisation must wait until its bucket holds tokens.
@@ -187,19 +192,22 @@
 	g.state.limits.hosts = max(1, hosts)
 }
 
-// SetPeers takes what all other live hosts told. A host that hears of none any
-// more doesn't call it, and so keeps its last shares.
+// SetPeers takes what other live hosts told, all of them or those that are
+// heard. A host that hears of none any more doesn't call it, and so keeps its
+// last shares.
 func (g *Gate) SetPeers(peers []PeerDemand) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := &g.state.limits
-	l.hosts = max(l.hosts, len(peers)+1)
+	l.heard = 1
 	clear(l.mine)
 	maps.Copy(l.mine, l.told)
 	clear(l.peers)
 	for _, p := range peers {
+		l.heard += max(1, p.Hosts)
 		for _, d := range p.Demands {
 			l.peers[key{service: d.Service, organisation: d.Organisation}] += d.TokensPerSecond
 		}
 	}
+	l.hosts = max(l.hosts, l.heard)
 }
--- a/internal/process/admission/limits_test.go
+++ b/internal/process/admission/limits_test.go
@@ -115,6 +115,46 @@
 	}
 }
 
+// A host that hears its own zone only takes the zones it doesn't hear for equal
+// to it, so that the sum over all zones holds.
+func TestAdmissionLimitHoldsOverZonesThatAreNotHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		group := new(errgroup.Group)
+		admitted := 0
+		gates := make([]*admission.Gate, 9)
+		for i := range gates {
+			gates[i] = admission.New(
+				func(identity.Service) admission.Service { return admission.Service{Slots: 1 << 20} },
+				func(identity.Organisation) admission.Organisation {
+					return admission.Organisation{Weight: 1, TokensPerSecond: limit}
+				})
+			gates[i].SetHosts(len(gates))
+			group.Go(func() error { return gates[i].Run(ctx) })
+		}
+		random := rand.New(rand.NewPCG(1, 1))
+		for second := range 40 {
+			for zone := range 3 {
+				exchange(gates[3*zone:3*zone+3], func(int) bool { return true })
+			}
+			for range 1000 {
+				time.Sleep(time.Millisecond)
+				ask := admission.Ask{Service: "s", Organisation: "o", Tokens: callSize}
+				if release, failure := gates[random.IntN(9)].Admit(ctx, ask); failure == nil {
+					release()
+					if second >= 10 {
+						admitted += callSize
+					}
+				}
+			}
+		}
+		cancel()
+		qt.Assert(t, group.Wait(), qt.IsNil)
+		share := float64(admitted) / (30 * limit)
+		qt.Check(t, share <= 1.1 && share >= 0.85, qt.IsTrue, qt.Commentf("%.2f of the limit", share))
+	})
+}
+
 // A call larger than what a host's bucket ever holds is admitted, and paid for
 // by waiting.
 func TestAdmissionLimitTakesLargeCalls(t *testing.T) {
