entry/routing: never refuse what another host had accepted

Cause: work handed over by a leaving host went through admission again, and at a full host an accepted request was refused (found by reading the two parts together); a call that waited for a slot was neither stopped nor handed over. Ruled out: admission before a request counts as accepted, since a batch call may wait a minute and its caller must be able to come back to it. Change: the taker enters the gate without asking; waiting ends when the host hands over, and the call goes to the peer. Proof: TestAdmissionDoesNotRefuseWorkHandedOver (30 answers at a full peer) and TestAdmissionHandsOverWhatStillWaits, both seen to fail on the old way; TestAdmissionLetsTakenCallsGoOn.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -102,6 +102,15 @@
 	return sync.OnceFunc(func() { g.release(t) }), nil
 }
 
+// Enter takes a slot at once, though there be none, for a call that was accepted
+// before and must not be refused any more.
+func (g *Gate) Enter(ask Ask) (release func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.state.enter(time.Now(), ask)
+	return sync.OnceFunc(func() { g.release(t) })
+}
+
 func (g *Gate) release(t *ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -346,6 +346,29 @@
 	})
 }
 
+// A call that another host had accepted is never refused, and counts.
+func TestAdmissionLetsTakenCallsGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(2)
+		play(t, b, func(ctx context.Context, group *errgroup.Group) {
+			var releases []func()
+			for range 5 {
+				releases = append(releases, b.gate.Enter(admission.Ask{Service: "s", Organisation: "a"}))
+			}
+			failure, _ := b.call(ctx, admission.Ask{Service: "s", Organisation: "a"}, 0)
+			c.Check(failure.Reason, qt.Equals, verdict.TargetOutOfReach)
+			for _, release := range releases {
+				release()
+				release()
+			}
+			failure, waited := b.call(ctx, admission.Ask{Service: "s", Organisation: "a"}, 0)
+			c.Check(failure == nil, qt.IsTrue)
+			c.Check(waited, qt.Equals, time.Duration(0))
+		})
+	})
+}
+
 // Refusals are NotRun, come early, and no wait outlasts its bound or deadline.
 func TestAdmissionRefusesEarlyAndBoundsTheQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/admission/state.go
+++ b/internal/process/admission/state.go
@@ -124,6 +124,15 @@
 	return t, nil
 }
 
+// enter takes a slot past the queue and the limits, which it is charged for.
+func (s *state) enter(now time.Time, ask Ask) *ticket {
+	v := s.find(ask.Service)
+	t := &ticket{ask: ask, admitted: now, decided: true}
+	v.inFlight++
+	s.limits.spend(now, ask, s.organisation(ask.Organisation))
+	return t
+}
+
 func refuse(reason verdict.Reason, wait time.Duration, detail string) *verdict.Error {
 	failure := verdict.New(verdict.NotRun, reason, detail)
 	failure.RetryAfter = max(retryAfter, wait)
--- a/internal/process/entry/assemble.go
+++ b/internal/process/entry/assemble.go
@@ -20,20 +20,15 @@
 	patience = 30 * time.Second
 )
 
-// begin assembles the answer of a work apart from its caller's connection.
-func (s *Server) begin(w work) {
+// begin assembles the answer of a work apart from its caller's connection, once
+// admit lets it start.
+func (s *Server) begin(w work, admit admitting) {
 	s.group.Go(func() error {
 		defer s.requests.end(w.call.Request)
-		release, failure := s.admit(s.ctx, w.call)
-		if failure != nil {
-			w.answer.Fail(failure)
-			return nil
-		}
-		defer release()
 		ctx, stop := context.WithCancelCause(s.ctx)
 		defer stop(nil)
 		s.requests.stoppable(w.call.Request, stop)
-		s.assemble(ctx, w)
+		s.admitted(ctx, w, admit)
 		if !errors.Is(context.Cause(ctx), errHandover) || w.answer.Ended() {
 			return nil
 		}
@@ -41,11 +36,25 @@
 			w.answer.Fail(verdict.New(verdict.MayHaveRun, verdict.HostStopping, "the answer goes on at another host"))
 			return nil
 		}
-		s.assemble(s.ctx, w)
+		s.admitted(s.ctx, w, s.admitTaken)
 		return nil
 	})
 }
 
+// admitted assembles a work's answer as soon as admit lets it start. A work that
+// is to be handed over while it waits is not refused.
+func (s *Server) admitted(ctx context.Context, w work, admit admitting) {
+	release, failure := admit(ctx, w.call)
+	if failure == nil {
+		defer release()
+		s.assemble(ctx, w)
+		return
+	}
+	if !errors.Is(context.Cause(ctx), errHandover) {
+		w.answer.Fail(failure)
+	}
+}
+
 // handedOver tells that the rest of a work's answer is at a peer.
 func handedOver(w work) bool {
 	failure := w.answer.Failure()
--- a/internal/process/entry/completion.go
+++ b/internal/process/entry/completion.go
@@ -78,7 +78,7 @@
 		s.refuse(w, string(c.Request), verdict.New(verdict.NotRun, verdict.HostFull, ""))
 		return
 	}
-	s.begin(running)
+	s.begin(running, s.admit)
 	s.follow(w, r, running, chat, body.Stream)
 }
 
--- a/internal/process/entry/routing.go
+++ b/internal/process/entry/routing.go
@@ -63,21 +63,39 @@
 	return t
 }
 
+// admitting lets a call start. The caller calls release once, when the call has
+// ended.
+type admitting func(context.Context, call.Call) (release func(), failure *verdict.Error)
+
 // admit waits until the call may start, or refuses it as NotRun. The caller
 // calls release once, when the call has ended.
 func (s *Server) admit(ctx context.Context, c call.Call) (release func(), failure *verdict.Error) {
-	leave, failure := s.router.gate.Admit(ctx, admission.Ask{
-		Service: c.Service, Organisation: c.Organisation, Tokens: c.PromptTokens + c.MaxTokens,
-		Batch: isBatch(c), Deadline: c.Deadline,
-	})
+	leave, failure := s.router.gate.Admit(ctx, askOf(c))
 	if failure != nil {
 		s.router.memory.Refused(c.Request, failure.Error(), time.Now())
 		return nil, failure
 	}
+	return s.ending(c, leave), nil
+}
+
+// admitTaken lets a call that another host had accepted go on at once.
+func (s *Server) admitTaken(_ context.Context, c call.Call) (release func(), failure *verdict.Error) {
+	return s.ending(c, s.router.gate.Enter(askOf(c))), nil
+}
+
+func askOf(c call.Call) admission.Ask {
+	return admission.Ask{
+		Service: c.Service, Organisation: c.Organisation, Tokens: c.PromptTokens + c.MaxTokens,
+		Batch: isBatch(c), Deadline: c.Deadline,
+	}
+}
+
+// ending closes a call's last dispatch and leaves the gate.
+func (s *Server) ending(c call.Call, leave func()) func() {
 	return func() {
 		s.router.book.End(c.Request, true, time.Now())
 		leave()
-	}, nil
+	}
 }
 
 // service tells admission of a service as it is now.
--- a/internal/process/entry/routing_test.go
+++ b/internal/process/entry/routing_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	standinengine "github.com/dandelionlift/dandelionlift/internal/standin/engine"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -65,3 +66,60 @@
 		c.Assert(refused > 200, qt.IsTrue)
 	})
 }
+
+// A host hands 30 unfinished answers to a peer whose one engine is full and which
+// refuses calls of its own: none of the 30 is refused there.
+func TestAdmissionDoesNotRefuseWorkHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(2, 1, 0, nil)
+		defer d.stop()
+		time.Sleep(time.Second)
+		replies := make([]reply, 30)
+		var group errgroup.Group
+		for i := range replies {
+			to := d.hosts[i%2]
+			group.Go(func() error {
+				_, replies[i] = d.complete(i+1, to, "a prompt", 60)
+				return nil
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		d.hosts[0].server.HandOver(t.Context())
+		c.Assert(group.Wait(), qt.IsNil)
+		for _, r := range replies {
+			again := d.call(1, d.hosts[1], http.MethodGet, "/v1/requests/"+r.request, "", "")
+			c.Check(completionText(again.body), qt.Equals, standinengine.Text("a prompt", 60), qt.Commentf("%+v", again))
+		}
+	})
+}
+
+// A batch call that still waits for a slot when its host leaves is handed over
+// too, and answered whole.
+func TestAdmissionHandsOverWhatStillWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(2, 1, 0, nil)
+		defer d.stop()
+		time.Sleep(time.Second)
+		var group errgroup.Group
+		for i := range 15 {
+			group.Go(func() error {
+				d.complete(i+1, d.hosts[0], "a prompt", 200)
+				return nil
+			})
+		}
+		time.Sleep(time.Second)
+		var waiting reply
+		group.Go(func() error {
+			waiting = d.call(20, d.hosts[0], http.MethodPost, "/v1/completions", "", `{"model":"model","prompt":"a night","max_tokens":10,"batch":true}`)
+			return nil
+		})
+		time.Sleep(300 * time.Millisecond)
+		d.hosts[0].server.HandOver(t.Context())
+		c.Assert(group.Wait(), qt.IsNil)
+		c.Assert(waiting.reason, qt.Equals, "host_stopping")
+		again := d.call(1, d.hosts[1], http.MethodGet, "/v1/requests/"+waiting.request, "", "")
+		c.Assert(completionText(again.body), qt.Equals, standinengine.Text("a night", 10))
+	})
+}
--- a/internal/process/entry/taker.go
+++ b/internal/process/entry/taker.go
@@ -83,7 +83,7 @@
 	if _, err := w.answer.Add(0, r.Msg.GetTokens()); err != nil {
 		w.answer.Fail(verdict.Of(err))
 	}
-	t.server.begin(w)
+	t.server.begin(w, t.server.admitTaken)
 	return connect.NewResponse(&handover.TakeResponse{Taken: true}), nil
 }
 
