--- a/internal/connection/peer/peer.connect.go
+++ b/internal/connection/peer/peer.connect.go
@@ -22,6 +22,8 @@
 const (
 	// PeerServiceName is the fully-qualified name of the PeerService service.
 	PeerServiceName = "dandelionlift.peer.PeerService"
+	// JournalServiceName is the fully-qualified name of the JournalService service.
+	JournalServiceName = "dandelionlift.peer.JournalService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -34,16 +36,14 @@
 const (
 	// PeerServiceBeatProcedure is the fully-qualified name of the PeerService's Beat RPC.
 	PeerServiceBeatProcedure = "/dandelionlift.peer.PeerService/Beat"
-	// PeerServicePullProcedure is the fully-qualified name of the PeerService's Pull RPC.
-	PeerServicePullProcedure = "/dandelionlift.peer.PeerService/Pull"
+	// JournalServicePullProcedure is the fully-qualified name of the JournalService's Pull RPC.
+	JournalServicePullProcedure = "/dandelionlift.peer.JournalService/Pull"
 )
 
 // PeerServiceClient is a client for the dandelionlift.peer.PeerService service.
 type PeerServiceClient interface {
 	// Beat exchanges what changed since the two hosts last spoke.
 	Beat(context.Context, *connect.Request[BeatRequest]) (*connect.Response[BeatResponse], error)
-	// Pull fetches the configuration above a version.
-	Pull(context.Context, *connect.Request[PullRequest]) (*connect.Response[PullResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the dandelionlift.peer.PeerService service. By
@@ -63,19 +63,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Beat")),
 			connect.WithClientOptions(opts...),
 		),
-		pull: connect.NewClient[PullRequest, PullResponse](
-			httpClient,
-			baseURL+PeerServicePullProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Pull")),
-			connect.WithClientOptions(opts...),
-		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	beat *connect.Client[BeatRequest, BeatResponse]
-	pull *connect.Client[PullRequest, PullResponse]
 }
 
 // Beat calls dandelionlift.peer.PeerService.Beat.
@@ -83,17 +76,10 @@
 	return c.beat.CallUnary(ctx, req)
 }
 
-// Pull calls dandelionlift.peer.PeerService.Pull.
-func (c *peerServiceClient) Pull(ctx context.Context, req *connect.Request[PullRequest]) (*connect.Response[PullResponse], error) {
-	return c.pull.CallUnary(ctx, req)
-}
-
 // PeerServiceHandler is an implementation of the dandelionlift.peer.PeerService service.
 type PeerServiceHandler interface {
 	// Beat exchanges what changed since the two hosts last spoke.
 	Beat(context.Context, *connect.Request[BeatRequest]) (*connect.Response[BeatResponse], error)
-	// Pull fetches the configuration above a version.
-	Pull(context.Context, *connect.Request[PullRequest]) (*connect.Response[PullResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -109,18 +95,10 @@
 		connect.WithSchema(peerServiceMethods.ByName("Beat")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerServicePullHandler := connect.NewUnaryHandler(
-		PeerServicePullProcedure,
-		svc.Pull,
-		connect.WithSchema(peerServiceMethods.ByName("Pull")),
-		connect.WithHandlerOptions(opts...),
-	)
 	return "/dandelionlift.peer.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceBeatProcedure:
 			peerServiceBeatHandler.ServeHTTP(w, r)
-		case PeerServicePullProcedure:
-			peerServicePullHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -134,6 +112,74 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionlift.peer.PeerService.Beat is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) Pull(context.Context, *connect.Request[PullRequest]) (*connect.Response[PullResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionlift.peer.PeerService.Pull is not implemented"))
+// JournalServiceClient is a client for the dandelionlift.peer.JournalService service.
+type JournalServiceClient interface {
+	// Pull fetches the configuration above a version.
+	Pull(context.Context, *connect.Request[PullRequest]) (*connect.Response[PullResponse], error)
+}
+
+// NewJournalServiceClient constructs a client for the dandelionlift.peer.JournalService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewJournalServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) JournalServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	journalServiceMethods := File_internal_connection_peer_peer_proto.Services().ByName("JournalService").Methods()
+	return &journalServiceClient{
+		pull: connect.NewClient[PullRequest, PullResponse](
+			httpClient,
+			baseURL+JournalServicePullProcedure,
+			connect.WithSchema(journalServiceMethods.ByName("Pull")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// journalServiceClient implements JournalServiceClient.
+type journalServiceClient struct {
+	pull *connect.Client[PullRequest, PullResponse]
+}
+
+// Pull calls dandelionlift.peer.JournalService.Pull.
+func (c *journalServiceClient) Pull(ctx context.Context, req *connect.Request[PullRequest]) (*connect.Response[PullResponse], error) {
+	return c.pull.CallUnary(ctx, req)
+}
+
+// JournalServiceHandler is an implementation of the dandelionlift.peer.JournalService service.
+type JournalServiceHandler interface {
+	// Pull fetches the configuration above a version.
+	Pull(context.Context, *connect.Request[PullRequest]) (*connect.Response[PullResponse], error)
+}
+
+// NewJournalServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewJournalServiceHandler(svc JournalServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	journalServiceMethods := File_internal_connection_peer_peer_proto.Services().ByName("JournalService").Methods()
+	journalServicePullHandler := connect.NewUnaryHandler(
+		JournalServicePullProcedure,
+		svc.Pull,
+		connect.WithSchema(journalServiceMethods.ByName("Pull")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/dandelionlift.peer.JournalService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case JournalServicePullProcedure:
+			journalServicePullHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedJournalServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedJournalServiceHandler struct{}
+
+func (UnimplementedJournalServiceHandler) Pull(context.Context, *connect.Request[PullRequest]) (*connect.Response[PullResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionlift.peer.JournalService.Pull is not implemented"))
 }
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -52,7 +52,7 @@
 		fx.StartTimeout(startTimeout),
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
-			peer.NewRouter, newMembers, newBudget,
+			peer.NewRouter, newMembers, newBudget, newCommandBudget,
 		),
 		fx.Invoke(runControl, runPeers, runFront),
 	)
@@ -76,15 +76,18 @@
 
 	Cloud    cloud.Client
 	KeyValue keyvalue.Client
+	Commands commandClient
 	Engine   engine.Client
 }
 
-func newClients(s settings.Entry, budget *keyvalue.Budget) clients {
+func newClients(s settings.Entry, budget *keyvalue.Budget, commands commandBudget) clients {
+	service := keyvalue.HTTP(s.Platform.KeyValue, platformTransport())
 	platform := &http.Client{Transport: &http.Transport{}}
 	endpoints := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}
 	return clients{
 		Cloud:    cloud.HTTP(s.Platform.Cloud, platform),
-		KeyValue: budget.Limit(keyvalue.HTTP(s.Platform.KeyValue, platformTransport())),
+		KeyValue: budget.Limit(service),
+		Commands: commandClient{commands.Limit(service)},
 		Engine:   engine.Client{HTTP: endpoints},
 	}
 }
@@ -100,17 +103,6 @@
 	}
 }
 
-func newJournal(kv keyvalue.Client, c *controller.Controller, log *slog.Logger) journal.Journal {
-	return journal.Journal{
-		KeyValue: kv,
-		Log:      log,
-		Adopt: func(ctx context.Context, seen configuration.Configuration) {
-			log.Info("configuration_seen", "version", seen.Version)
-			c.Post(ctx, controller.ConfigurationSeen{Configuration: seen})
-		},
-	}
-}
-
 func newServer(l life, s settings.Entry, c *controller.Controller, e engine.Client, m *meter.Meter, log *slog.Logger) *Server {
 	server := New(l.ctx, l.group, s, WithSnapshot(c.Snapshot), WithLog(log), WithMeter(m))
 	server.Engine = e
@@ -129,7 +121,7 @@
 }
 
 // runControl starts what learns about the deployment, and ends it last.
-func runControl(lc fx.Lifecycle, l life, given Given, c *controller.Controller, w controller.Watcher, j journal.Journal) {
+func runControl(lc fx.Lifecycle, l life, given Given, c *controller.Controller, w controller.Watcher, j *journal.Journal) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l.group.Go(func() error { return c.Run(l.ctx) })
@@ -145,25 +137,6 @@
 	})
 }
 
-// bootstrap offers the settings' configuration until the service has one.
-func bootstrap(ctx context.Context, given Given, j journal.Journal) error {
-	if given.Settings.Bootstrap.Configuration == "" {
-		return nil
-	}
-	for ctx.Err() == nil {
-		err := j.Bootstrap(ctx, given.Bootstrap)
-		if err == nil {
-			return nil
-		}
-		given.Log.Warn("bootstrap_failed", "error", err)
-		select {
-		case <-time.After(time.Second):
-		case <-ctx.Done():
-		}
-	}
-	return nil
-}
-
 // runFront serves callers, and on stop drains before it closes.
 func runFront(lc fx.Lifecycle, l life, given Given, s *Server, router *mux.Router) {
 	front := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
--- a/internal/process/entry/budget.go
+++ b/internal/process/entry/budget.go
@@ -22,12 +22,23 @@
 func newBudget(members *member.Members, m *meter.Meter) *keyvalue.Budget {
 	budget := keyvalue.NewBudget(func() keyvalue.Rates {
 		live := members.Live()
-		return keyvalue.Share(keyvalue.Duty{Hosts: len(live), Zones: countZones(live)})
+		return keyvalue.Share(keyvalue.Duty{Hosts: len(live), Zones: countZones(live), Relay: members.Relay()})
 	})
 	budget.Count = countCalls(m)
 	return budget
 }
 
+// commandBudget and commandClient are for what operators order.
+type commandBudget struct{ *keyvalue.Budget }
+
+type commandClient struct{ keyvalue.Client }
+
+func newCommandBudget(m *meter.Meter) commandBudget {
+	budget := keyvalue.NewBudget(keyvalue.CommandRates)
+	budget.Count = countCalls(m)
+	return commandBudget{Budget: budget}
+}
+
 func countCalls(m *meter.Meter) func(kind, outcome string) {
 	return func(kind, outcome string) {
 		m.Counter(fmt.Sprintf("keyvalue_calls_total{kind=%q,outcome=%q}", kind, outcome)).Inc()
--- /dev/null
+++ b/internal/process/entry/configuration.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
+	"github.com/dandelionlift/dandelionlift/internal/process/controller"
+	"github.com/dandelionlift/dandelionlift/internal/process/journal"
+	"github.com/dandelionlift/dandelionlift/internal/process/member"
+	"github.com/dandelionlift/dandelionlift/internal/process/meter"
+	"github.com/dandelionlift/dandelionlift/internal/process/settings"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+)
+
+// newJournal follows the configuration, and lets heartbeats carry its version.
+func newJournal(
+	kv keyvalue.Client, commands commandClient, s settings.Entry, c *controller.Controller,
+	members *member.Members, m *meter.Meter, log *slog.Logger,
+) *journal.Journal {
+	j := journal.New(kv)
+	j.Commands = commands.Client
+	j.Log = log
+	j.Adopt = func(ctx context.Context, seen configuration.Configuration) {
+		c.Post(ctx, controller.ConfigurationSeen{Configuration: seen})
+	}
+	j.Refuse = func(reason journal.Refusal) {
+		m.Counter(fmt.Sprintf("configuration_refused_total{reason=%q}", reason)).Inc()
+	}
+	j.Relay = members.Relay
+	j.Connect = func() *http.Client { return peer.Connect(s.Peer.Keys, nil) }
+	members.Version = j.Version
+	members.Ahead = j.Ahead
+	return j
+}
+
+// bootstrap offers the settings' configuration until the service has one.
+func bootstrap(ctx context.Context, given Given, j *journal.Journal) error {
+	if given.Settings.Bootstrap.Configuration == "" {
+		return nil
+	}
+	for ctx.Err() == nil {
+		err := j.Bootstrap(ctx, given.Bootstrap)
+		if err == nil {
+			return nil
+		}
+		given.Log.Warn("bootstrap_failed", "error", err)
+		select {
+		case <-time.After(bootstrapPause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+const bootstrapPause = time.Second
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
+	"github.com/dandelionlift/dandelionlift/internal/process/journal"
 	"github.com/dandelionlift/dandelionlift/internal/process/member"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
@@ -32,8 +33,9 @@
 }
 
 // runPeers serves the peer listener, and closes it after the front.
-func runPeers(lc fx.Lifecycle, l life, s settings.Entry, router peer.Router, members *member.Members) {
+func runPeers(lc fx.Lifecycle, l life, s settings.Entry, router peer.Router, members *member.Members, j *journal.Journal) {
 	members.Mount(router)
+	j.Mount(router)
 	server := peer.Server(router, s.Peer.Keys)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -1,82 +1,218 @@
 // Package journal keeps the operators' configuration in the key-value service.
 //
-// The head key holds the configuration in force. A change replaces it by
-// compare-and-swap, and hosts follow it by a bounded watch.
+// # The log
+//
+// Each accepted command is one Entry: who ordered what, and the change it makes.
+// The head key holds the version in force and the last entries, and is replaced
+// by compare-and-swap, so that an entry and its audit trail are one write. Older
+// entries live in segments, and whole states in snapshots, both written before a
+// head that names them. A host that follows the log reads little more than what
+// changed.
+//
+// # Accepted
+//
+// Proposals that wait together become one write. A lost answer is settled before
+// the operator is told: a command that is found in the log was accepted, under
+// whatever write.
+//
+// # Never back
+//
+// A host adopts only higher versions, and only such that continue its own log.
+// An older version offered by the service is reported and not believed, and no
+// command is built on it. Hosts learn from one another as well: the relays of a
+// zone watch the head, the others pull from whoever is seen ahead.
 package journal
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/sync/errgroup"
+
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-// HeadKey is where the configuration in force lives.
+// HeadKey is where the head of the log lives.
 const HeadKey = "configuration/head"
 
 const (
-	watchWait  = 10 * time.Second
-	retryPause = time.Second
+	watchWait = 3 * time.Second
+	// readsApart is the least time between two reads of the head by a watch.
+	readsApart = 250 * time.Millisecond
+	// mostQuiet is after how many watches without news the head is read whatever
+	// its revision, because a restored service may count from a lower one.
+	mostQuiet  = 10
+	retryFirst = 250 * time.Millisecond
+	retryMost  = 4 * time.Second
+	// dutyPoll is how often a host looks whether it has become a relay.
+	dutyPoll        = time.Second
+	queuedHints     = 64
+	queuedProposals = 256
 )
 
-// Journal follows the configuration.
+// Journal follows the configuration and changes it. Make one with New.
 type Journal struct {
+	// KeyValue is for following, Commands for operators' changes.
 	KeyValue keyvalue.Client
+	Commands keyvalue.Client
 	Log      *slog.Logger
-	// Adopt takes each configuration that is seen.
+	// Adopt takes each configuration that comes into force at this host.
 	Adopt func(context.Context, configuration.Configuration)
+	// Refuse is told of each offer that was not believed, and why.
+	Refuse func(reason Refusal)
+	// Relay tells whether this host watches the head.
+	Relay func() bool
+	// Connect makes a client for pulling from peers.
+	Connect func() *http.Client
+
+	mu sync.Mutex
+	// state only ever moves to higher versions; mu is held to replace it.
+	state     atomic.Pointer[State]
+	hints     chan hint
+	proposals chan pending
 }
 
-// Bootstrap offers c as the first version where the service has none.
-func (j Journal) Bootstrap(ctx context.Context, c configuration.Configuration) error {
-	c.Version = 1
-	data, err := json.Marshal(head{Configuration: c})
-	if err != nil {
-		return err
-	}
-	_, err = j.KeyValue.Put(ctx, HeadKey, keyvalue.Put{Data: data})
-	if errors.Is(err, keyvalue.ErrConflict) {
-		return nil
+// Refusal is why an offer was not believed.
+type Refusal string
+
+// The refusals.
+const (
+	// OlderOffered tells that the service's head went back.
+	OlderOffered Refusal = "older_offered"
+	// Forked tells that an offer does not continue this host's log.
+	Forked Refusal = "forked"
+)
+
+// New makes a Journal that follows the log in kv.
+func New(kv keyvalue.Client) *Journal {
+	j := &Journal{
+		KeyValue:  kv,
+		Commands:  kv,
+		Log:       slog.Default(),
+		Adopt:     func(context.Context, configuration.Configuration) {},
+		Refuse:    func(Refusal) {},
+		Relay:     func() bool { return true },
+		Connect:   func() *http.Client { return http.DefaultClient },
+		hints:     make(chan hint, queuedHints),
+		proposals: make(chan pending, queuedProposals),
 	}
-	return err
+	j.state.Store(&State{})
+	return j
+}
+
+// Version gives the version in force at this host, and the digest of the log
+// that led to it.
+func (j *Journal) Version() (identity.Version, uint64) {
+	s := j.state.Load()
+	return s.Configuration.Version, s.Digest
+}
+
+// Entries lists the last accepted commands, oldest first.
+func (j *Journal) Entries() []Entry {
+	return j.state.Load().Entries
 }
 
-// Run follows the head until ctx ends.
-func (j Journal) Run(ctx context.Context) error {
+// Run follows and changes the log until ctx ends.
+func (j *Journal) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return j.follow(ctx) })
+	group.Go(func() error { return j.learn(ctx) })
+	group.Go(func() error { return j.commitAll(ctx) })
+	return group.Wait()
+}
+
+// follow watches the head while this host is a relay, or has nothing yet.
+func (j *Journal) follow(ctx context.Context) error {
 	var after keyvalue.Revision
+	quiet := 0
+	pause := newPause()
 	for ctx.Err() == nil {
-		value, err := j.watch(ctx, after)
+		if version, _ := j.Version(); version != 0 && !j.Relay() {
+			wait(ctx, dutyPoll)
+			continue
+		}
+		value, err := j.KeyValue.Watch(ctx, HeadKey, after, watchWait)
+		if quiet++; quiet == mostQuiet {
+			after, quiet = 0, 0
+		}
 		if err == nil && value.Revision > after {
-			after = value.Revision
-			err = j.adopt(ctx, value)
+			err = j.see(ctx, j.KeyValue, value)
+			if err == nil {
+				after, quiet = value.Revision, 0
+			}
 		}
 		if err == nil {
+			pause.Reset()
+			wait(ctx, readsApart)
 			continue
 		}
-		j.Log.Warn("configuration_unavailable", "error", err)
-		select {
-		case <-time.After(retryPause):
-		case <-ctx.Done():
+		if ctx.Err() == nil {
+			j.Log.Warn("configuration_unavailable", "error", err)
 		}
+		wait(ctx, pause.NextBackOff())
 	}
 	return nil
 }
 
-func (j Journal) watch(ctx context.Context, after keyvalue.Revision) (keyvalue.Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*watchWait)
-	defer cancel()
-	return j.KeyValue.Watch(ctx, HeadKey, after, watchWait)
+// offer adopts next if it is higher than what is in force.
+func (j *Journal) offer(ctx context.Context, next State) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if next.Configuration.Version <= j.state.Load().Configuration.Version {
+		return
+	}
+	j.state.Store(&next)
+	j.Log.Info("configuration_adopted", "version", next.Configuration.Version)
+	j.Adopt(ctx, next.Configuration)
 }
 
-func (j Journal) adopt(ctx context.Context, value keyvalue.Value) error {
-	var present head
-	if err := json.Unmarshal(value.Data, &present); err != nil {
+// see takes the head as the service gave it, and reads what it lacks.
+func (j *Journal) see(ctx context.Context, kv keyvalue.Client, value keyvalue.Value) error {
+	next, err := j.reach(ctx, kv, value)
+	if err != nil {
 		return err
 	}
-	j.Adopt(ctx, present.Configuration)
+	j.offer(ctx, next)
 	return nil
 }
+
+// reach gives the state that a head stands for, from the present one.
+func (j *Journal) reach(ctx context.Context, kv keyvalue.Client, value keyvalue.Value) (State, error) {
+	h, err := parseHead(value)
+	if err != nil {
+		return State{}, err
+	}
+	present := *j.state.Load()
+	next, err := h.catchUp(ctx, kv, present)
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		j.Refuse(refused.reason)
+		j.Log.Warn("configuration_refused", "reason", refused.reason, "offered", h.Version, "version", present.Configuration.Version)
+	}
+	return next, err
+}
+
+func newPause() *backoff.ExponentialBackOff {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = retryFirst
+	pause.MaxInterval = retryMost
+	pause.Multiplier = 2
+	return pause
+}
+
+func wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/process/journal/propose.go
+++ b/internal/process/journal/propose.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/version/change"
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-// mostTries bounds how often a proposal is offered against other writers.
-const mostTries = 16
-
 // Proposal is one operator's change.
 type Proposal struct {
 	// Command makes a repeat harmless: it gets the first outcome.
@@ -24,7 +21,8 @@
 	Line string
 	// IfVersion must be the version in force; zero allows any.
 	IfVersion identity.Version
-	// Change makes the next configuration from a copy of the present one.
+	// Change makes the next configuration from a copy of the present one. It
+	// may be called more than once.
 	Change func(configuration.Configuration) (configuration.Configuration, error)
 }
 
@@ -41,110 +39,95 @@
 		c.Version, c.At.UTC().Format(time.RFC3339), c.Line, c.Operator)
 }
 
-// Entry is one accepted command.
-type Entry struct {
-	Version  identity.Version `json:"version"`
-	Command  identity.Command `json:"command"`
-	Operator string           `json:"operator"`
-	Line     string           `json:"line"`
-	At       time.Time        `json:"at"`
-}
+// ErrUnsettled tells that a change may or may not come into force. A repeat
+// with the same Command settles that.
+var ErrUnsettled = errors.New("journal: outcome not known yet; repeat with the same command id")
 
-// head is the value of HeadKey.
-type head struct {
-	Configuration configuration.Configuration `json:"configuration"`
-	// Entries are the last accepted commands, oldest first.
-	Entries []Entry `json:"entries"`
+// pending is a proposal with where its outcome goes.
+type pending struct {
+	proposal Proposal
+	outcome  chan outcome
 }
 
-const keptEntries = 256
-
-// Propose offers a change until it is accepted, refused or ctx ends. When it
-// returns a configuration, that one was committed. An error other than
-// Conflict or the Change's own may leave open whether it was: a repeat with
-// the same Command settles that.
-func (j Journal) Propose(ctx context.Context, p Proposal) (configuration.Configuration, error) {
-	for range mostTries {
-		value, present, err := j.read(ctx)
-		if err != nil {
-			return configuration.Configuration{}, err
-		}
-		if done, ok := present.find(p.Command); ok {
-			return present.at(done)
-		}
-		next, err := present.next(p)
-		if err != nil {
-			return configuration.Configuration{}, err
-		}
-		err = j.commit(ctx, value.Revision, next)
-		if err == nil {
-			j.Adopt(ctx, next.Configuration)
-			return next.Configuration, nil
-		}
-		if !errors.Is(err, keyvalue.ErrConflict) && !errors.Is(err, keyvalue.ErrAmbiguous) {
-			return configuration.Configuration{}, err
-		}
-	}
-	return configuration.Configuration{}, fmt.Errorf("journal: %d other changes came first", mostTries)
+type outcome struct {
+	configuration configuration.Configuration
+	err           error
 }
 
-func (j Journal) read(ctx context.Context) (keyvalue.Value, head, error) {
-	var present head
-	value, err := j.KeyValue.Get(ctx, HeadKey)
-	if err != nil {
-		return value, present, err
+// Propose offers a change until it is accepted, refused or ctx ends. Run must
+// be running. When it returns a configuration, the change was committed, and
+// the Version is the one under which it was. Any error but ErrUnsettled tells
+// that it was not.
+func (j *Journal) Propose(ctx context.Context, p Proposal) (configuration.Configuration, error) {
+	waiting := pending{proposal: p, outcome: make(chan outcome, 1)}
+	select {
+	case j.proposals <- waiting:
+	case <-ctx.Done():
+		return configuration.Configuration{}, ctx.Err()
+	}
+	select {
+	case done := <-waiting.outcome:
+		return done.configuration, done.err
+	case <-ctx.Done():
+		return configuration.Configuration{}, errors.Join(ErrUnsettled, ctx.Err())
 	}
-	err = json.Unmarshal(value.Data, &present)
-	return value, present, err
 }
 
-// commit writes a head. After a lost answer, the next read finds the command.
-func (j Journal) commit(ctx context.Context, at keyvalue.Revision, next head) error {
-	data, err := json.Marshal(next)
+// next gives the state after a proposal, or what speaks against it.
+func (s State) next(p Proposal) (State, error) {
+	present := s.Configuration
+	if p.IfVersion != 0 && p.IfVersion != present.Version {
+		return s, s.conflict()
+	}
+	changed, err := p.Change(present.Clone())
 	if err != nil {
-		return err
+		return s, err
 	}
-	last := next.Entries[len(next.Entries)-1]
-	_, err = j.KeyValue.Put(ctx, HeadKey, keyvalue.Put{Data: data, IfRevision: at, Writer: string(last.Command)})
-	return err
+	changed = change.Sorted(changed)
+	changed.Version = present.Version + 1
+	c := change.Between(present, changed)
+	return s.apply(Entry{
+		Version: changed.Version, Command: p.Command, Operator: p.Operator, Line: p.Line,
+		At: time.Now().UTC().Truncate(time.Millisecond), Change: &c,
+	})
 }
 
-func (h head) find(command identity.Command) (Entry, bool) {
-	for _, e := range h.Entries {
-		if e.Command == command {
-			return e, true
-		}
+func (s State) conflict() *Conflict {
+	c := &Conflict{Version: s.Configuration.Version}
+	if len(s.Entries) > 0 {
+		last := s.Entries[len(s.Entries)-1]
+		c.Operator, c.At, c.Line = last.Operator, last.At, last.Line
 	}
-	return Entry{}, false
+	return c
 }
 
-// at gives the configuration as it is now, under the version of a past entry.
-func (h head) at(e Entry) (configuration.Configuration, error) {
-	c := h.Configuration
+// accepted gives the first outcome of a command that is in the log.
+func (s State) accepted(e Entry) outcome {
+	c := s.Configuration
 	c.Version = e.Version
-	return c, nil
+	return outcome{configuration: c}
 }
 
-func (h head) next(p Proposal) (head, error) {
-	present := h.Configuration
-	if p.IfVersion != 0 && p.IfVersion != present.Version {
-		return head{}, h.conflict()
+// Bootstrap offers c as the first version where the service has none.
+func (j *Journal) Bootstrap(ctx context.Context, c configuration.Configuration) error {
+	_, err := j.Commands.Get(ctx, HeadKey)
+	if !errors.Is(err, keyvalue.ErrAbsent) {
+		return err
 	}
-	changed, err := p.Change(present.Clone())
-	if err != nil {
-		return head{}, err
+	if version, _ := j.Version(); version != 0 {
+		j.Refuse(OlderOffered)
+		return &refusedError{reason: OlderOffered, present: version}
 	}
-	changed.Version = present.Version + 1
-	entry := Entry{Version: changed.Version, Command: p.Command, Operator: p.Operator, Line: p.Line, At: time.Now()}
-	entries := append(h.Entries[:len(h.Entries):len(h.Entries)], entry)
-	return head{Configuration: changed, Entries: entries[max(0, len(entries)-keptEntries):]}, nil
-}
-
-func (h head) conflict() *Conflict {
-	c := &Conflict{Version: h.Configuration.Version}
-	if len(h.Entries) > 0 {
-		last := h.Entries[len(h.Entries)-1]
-		c.Operator, c.At, c.Line = last.Operator, last.At, last.Line
+	c = change.Sorted(c)
+	c.Version = 1
+	h := head{Version: 1}
+	if err := h.Snapshot.write(ctx, j.Commands, State{Configuration: c}); err != nil {
+		return err
 	}
-	return c
+	_, err = j.write(ctx, 0, h)
+	if errors.Is(err, keyvalue.ErrConflict) {
+		h.Snapshot.forget(ctx, j.Commands)
+		return nil
+	}
+	return err
 }
--- a/internal/process/member/members.go
+++ b/internal/process/member/members.go
@@ -34,6 +34,10 @@
 	Listed func() []Peer
 	// Connect makes a client with connections of its own.
 	Connect func() *http.Client
+	// Version gives the configuration in force here and the digest of its log;
+	// Ahead is told of the versions that peers have. Neither may wait.
+	Version func() (identity.Version, uint64)
+	Ahead   func(netip.AddrPort, identity.Version)
 	Log     *slog.Logger
 
 	self  Peer
@@ -45,10 +49,12 @@
 // New makes a Members for the host self.
 func New(self Peer) *Members {
 	m := &Members{
-		Listed: func() []Peer { return nil },
-		Log:    slog.Default(),
-		self:   self,
-		tasks:  make(chan func(*state), queuedTasks),
+		Listed:  func() []Peer { return nil },
+		Version: func() (identity.Version, uint64) { return 0, 0 },
+		Ahead:   func(netip.AddrPort, identity.Version) {},
+		Log:     slog.Default(),
+		self:    self,
+		tasks:   make(chan func(*state), queuedTasks),
 		state: state{
 			self:  self,
 			known: make(map[identity.Host]record),
@@ -132,7 +138,7 @@
 func (m *Members) exchange(ctx context.Context, p Peer, client *http.Client) {
 	limited, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	request := connect.NewRequest(&peer.BeatRequest{Sender: m.self.sender()})
+	request := connect.NewRequest(&peer.BeatRequest{Sender: m.sender()})
 	answer, err := peer.NewPeerServiceClient(client, "http://"+p.Address.String()).Beat(limited, request)
 	finish := func(s *state) {
 		l := s.links[p.Address]
@@ -142,7 +148,7 @@
 			l.client = m.Connect()
 			return
 		}
-		s.heard(time.Now(), answer.Msg.GetSender())
+		m.heard(s, answer.Msg.GetSender())
 	}
 	if err := m.do(ctx, finish); err != nil && !errors.Is(err, context.Canceled) {
 		m.Log.Warn("heartbeat_dropped", "peer", p.Host, "error", err)
@@ -152,6 +158,25 @@
 	}
 }
 
+// sender tells who speaks, and what is in force here.
+func (m *Members) sender() *peer.Sender {
+	version, digest := m.Version()
+	return &peer.Sender{
+		Host: string(m.self.Host), Incarnation: string(m.self.Incarnation), Zone: string(m.self.Zone),
+		Address: m.self.Address.String(), Version: uint64(version), Digest: digest,
+	}
+}
+
+// heard takes in what a peer says of itself.
+func (m *Members) heard(s *state, sender *peer.Sender) {
+	address, err := netip.ParseAddrPort(sender.GetAddress())
+	if err != nil {
+		return
+	}
+	s.heard(time.Now(), sender)
+	m.Ahead(address, identity.Version(sender.GetVersion()))
+}
+
 // publish replaces the list that Live gives.
 func (m *Members) publish(now time.Time) {
 	live := []Peer{m.self}
--- a/internal/process/member/service.go
+++ b/internal/process/member/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -17,7 +16,7 @@
 
 // Beat answers one heartbeat.
 func (v service) Beat(ctx context.Context, request *connect.Request[peer.BeatRequest]) (*connect.Response[peer.BeatResponse], error) {
-	response := &peer.BeatResponse{Sender: v.members.self.sender()}
-	err := v.members.do(ctx, func(s *state) { s.heard(time.Now(), request.Msg.GetSender()) })
+	response := &peer.BeatResponse{Sender: v.members.sender()}
+	err := v.members.do(ctx, func(s *state) { v.members.heard(s, request.Msg.GetSender()) })
 	return connect.NewResponse(response), err
 }
--- a/internal/process/member/state.go
+++ b/internal/process/member/state.go
@@ -53,9 +53,3 @@
 		Address:     address,
 	}}
 }
-
-func (p Peer) sender() *peer.Sender {
-	return &peer.Sender{
-		Host: string(p.Host), Incarnation: string(p.Incarnation), Zone: string(p.Zone), Address: p.Address.String(),
-	}
-}
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -142,3 +142,8 @@
 
 // Addr is where the listener listens.
 func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
+
+// Cut tells whether bytes are lost between two addresses, either way.
+func (n *Network) Cut(a, b netip.Addr) bool {
+	return n.path(a, b, 0).Lost || n.path(b, a, 0).Lost
+}
--- /dev/null
+++ b/internal/version/change/change_test.go
@@ -0,0 +1,66 @@
+package change_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/change"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
+)
+
+// random draws a configuration over few ids, so that two of them overlap.
+func random(r *rand.Rand) configuration.Configuration {
+	var c configuration.Configuration
+	for i := range 6 {
+		if r.IntN(2) == 0 {
+			c.Zones = append(c.Zones, configuration.Zone{ID: identity.Zone(fmt.Sprint("z", i)), Region: identity.Region(fmt.Sprint("r", r.IntN(2)))})
+		}
+		if r.IntN(2) == 0 {
+			c.Services = append(c.Services, configuration.Service{ID: identity.Service(fmt.Sprint("s", i)), Adapter: fmt.Sprint(r.IntN(2))})
+		}
+		if r.IntN(2) == 0 {
+			c.Organisations = append(c.Organisations, configuration.Organisation{ID: identity.Organisation(fmt.Sprint("o", i)), Weight: float64(r.IntN(2))})
+		}
+		if r.IntN(2) == 0 {
+			c.Prices = append(c.Prices, configuration.Price{Zone: "z", Class: identity.Class(fmt.Sprint("c", i)), OnDemand: unit.Money(r.IntN(2))})
+		}
+		if r.IntN(2) == 0 {
+			c.Links = append(c.Links, configuration.Link{From: "r", To: identity.Region(fmt.Sprint("r", i)), PerGigabyte: unit.Money(r.IntN(2))})
+		}
+	}
+	return c
+}
+
+func TestConfigChangeLeadsToTheNewer(t *testing.T) {
+	for seed := range uint64(500) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		older, newer := random(r), random(r)
+		if seed%2 == 0 {
+			r.Shuffle(len(newer.Zones), func(i, j int) { newer.Zones[i], newer.Zones[j] = newer.Zones[j], newer.Zones[i] })
+		}
+		if seed%2 == 1 {
+			newer = change.Sorted(newer)
+		}
+		newer.Version = 7
+		before, err := json.Marshal(older)
+		qt.Assert(t, err, qt.IsNil)
+		c := change.Between(older, newer)
+		got, err := json.Marshal(c.Apply(older, 7))
+		qt.Assert(t, err, qt.IsNil)
+		want, err := json.Marshal(newer)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(got), qt.Equals, string(want), qt.Commentf("seed %d", seed))
+		if seed%2 == 1 {
+			qt.Assert(t, c.Whole, qt.IsNil)
+		}
+		after, err := json.Marshal(older)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(after), qt.Equals, string(before))
+	}
+}
