--- a/internal/process/journal/commit.go
+++ b/internal/process/journal/commit.go
@@ -18,34 +18,11 @@
 	commitTimeout = 20 * time.Second
 )
 
-// commitAll commits what is proposed, batch after batch.
-func (j *Journal) commitAll(ctx context.Context) error {
-	for {
-		select {
-		case first := <-j.proposals:
-			j.commit(ctx, j.batch(first))
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// batch adds what else is waiting.
-func (j *Journal) batch(first pending) []pending {
-	list := []pending{first}
-	for len(list) < mostBatch {
-		select {
-		case p := <-j.proposals:
-			list = append(list, p)
-		default:
-			return list
-		}
-	}
-	return list
-}
-
 // commit answers each proposal of a batch.
 func (j *Journal) commit(ctx context.Context, list []pending) {
+	if len(list) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	outcomes, err := j.insist(ctx, list)
@@ -105,7 +82,6 @@
 	}
 	next, outcomes := build(present, list)
 	if next.Configuration.Version == present.Configuration.Version {
-		j.offer(ctx, present)
 		return outcomes, nil
 	}
 	h, err := parseHead(value)
@@ -133,7 +109,7 @@
 	outcomes := make([]outcome, len(list))
 	for i, p := range list {
 		if e, ok := s.find(p.proposal.Command); ok {
-			outcomes[i] = s.accepted(e)
+			outcomes[i] = s.accepted(e, p.proposal)
 			continue
 		}
 		next, err := s.next(p.proposal)
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -53,9 +53,8 @@
 	retryFirst = 250 * time.Millisecond
 	retryMost  = 4 * time.Second
 	// dutyPoll is how often a host looks whether it has become a relay.
-	dutyPoll        = time.Second
-	queuedHints     = 64
-	queuedProposals = 256
+	dutyPoll    = time.Second
+	queuedHints = 64
 )
 
 // Journal follows the configuration and changes it. Make one with New.
@@ -75,9 +74,13 @@
 
 	mu sync.Mutex
 	// state only ever moves to higher versions; mu is held to replace it.
-	state     atomic.Pointer[State]
-	hints     chan hint
-	proposals chan pending
+	state atomic.Pointer[State]
+	hints chan hint
+
+	// turn is held by the one who commits what is queued.
+	turn    chan struct{}
+	queueMu sync.Mutex
+	queue   []pending
 }
 
 // Refusal is why an offer was not believed.
@@ -94,15 +97,15 @@
 // New makes a Journal that follows the log in kv.
 func New(kv keyvalue.Client) *Journal {
 	j := &Journal{
-		KeyValue:  kv,
-		Commands:  kv,
-		Log:       slog.Default(),
-		Adopt:     func(context.Context, configuration.Configuration) {},
-		Refuse:    func(Refusal) {},
-		Relay:     func() bool { return true },
-		Connect:   func() *http.Client { return http.DefaultClient },
-		hints:     make(chan hint, queuedHints),
-		proposals: make(chan pending, queuedProposals),
+		KeyValue: kv,
+		Commands: kv,
+		Log:      slog.Default(),
+		Adopt:    func(context.Context, configuration.Configuration) {},
+		Refuse:   func(Refusal) {},
+		Relay:    func() bool { return true },
+		Connect:  func() *http.Client { return http.DefaultClient },
+		hints:    make(chan hint, queuedHints),
+		turn:     make(chan struct{}, 1),
 	}
 	j.state.Store(&State{})
 	return j
@@ -115,17 +118,26 @@
 	return s.Configuration.Version, s.Digest
 }
 
-// Entries lists the last accepted commands, oldest first.
+// Entries lists the last accepted commands that this host knows, oldest first.
 func (j *Journal) Entries() []Entry {
 	return j.state.Load().Entries
 }
 
-// Run follows and changes the log until ctx ends.
+// History reads the last accepted commands, oldest first. Where the service
+// does not answer it gives those that this host knows, with the error.
+func (j *Journal) History(ctx context.Context) ([]Entry, error) {
+	_, latest, err := j.latest(ctx, j.Commands)
+	if err != nil {
+		return j.Entries(), err
+	}
+	return latest.Entries, nil
+}
+
+// Run follows the log until ctx ends.
 func (j *Journal) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return j.follow(ctx) })
 	group.Go(func() error { return j.learn(ctx) })
-	group.Go(func() error { return j.commitAll(ctx) })
 	return group.Wait()
 }
 
--- a/internal/process/journal/propose.go
+++ b/internal/process/journal/propose.go
@@ -54,25 +54,47 @@
 	err           error
 }
 
-// Propose offers a change until it is accepted, refused or ctx ends. Run must
-// be running. When it returns a configuration, the change was committed, and
-// the Version is the one under which it was. Any error but ErrUnsettled tells
-// that it was not.
+// ErrReused tells that a Command came with another line before.
+var ErrReused = errors.New("journal: the command id was used for another line")
+
+// Propose offers a change until it is accepted, refused or ctx ends. When it
+// returns a configuration, the change was committed, and the Version is the one
+// under which it was. Any error but ErrUnsettled tells that it was not.
+//
+// One of those who wait commits for all of them, and may take commitTimeout
+// longer than ctx for that.
 func (j *Journal) Propose(ctx context.Context, p Proposal) (configuration.Configuration, error) {
 	waiting := pending{proposal: p, outcome: make(chan outcome, 1)}
-	select {
-	case j.proposals <- waiting:
-	case <-ctx.Done():
-		return configuration.Configuration{}, ctx.Err()
-	}
-	select {
-	case done := <-waiting.outcome:
-		return done.configuration, done.err
-	case <-ctx.Done():
-		return configuration.Configuration{}, errors.Join(ErrUnsettled, ctx.Err())
+	j.enqueue(waiting)
+	for {
+		select {
+		case done := <-waiting.outcome:
+			return done.configuration, done.err
+		case j.turn <- struct{}{}:
+			j.commit(context.WithoutCancel(ctx), j.dequeue())
+			<-j.turn
+		case <-ctx.Done():
+			return configuration.Configuration{}, errors.Join(ErrUnsettled, ctx.Err())
+		}
 	}
 }
 
+func (j *Journal) enqueue(p pending) {
+	j.queueMu.Lock()
+	defer j.queueMu.Unlock()
+	j.queue = append(j.queue, p)
+}
+
+// dequeue takes what one write may hold.
+func (j *Journal) dequeue() []pending {
+	j.queueMu.Lock()
+	defer j.queueMu.Unlock()
+	n := min(len(j.queue), mostBatch)
+	list := j.queue[:n:n]
+	j.queue = j.queue[n:]
+	return list
+}
+
 // next gives the state after a proposal, or what speaks against it.
 func (s State) next(p Proposal) (State, error) {
 	present := s.Configuration
@@ -102,7 +124,10 @@
 }
 
 // accepted gives the first outcome of a command that is in the log.
-func (s State) accepted(e Entry) outcome {
+func (s State) accepted(e Entry, p Proposal) outcome {
+	if e.Line != p.Line {
+		return outcome{err: fmt.Errorf("%w: %q", ErrReused, e.Line)}
+	}
 	c := s.Configuration
 	c.Version = e.Version
 	return outcome{configuration: c}
--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -55,28 +55,33 @@
 	bytesPerToken   = 6.0
 	bytesPerFrame   = 200.0
 	reportLag       = 300 * time.Millisecond
-	agingAfter      = 3 * time.Second
+	agingAfter      = 500 * time.Millisecond
 	slowStart       = 10 * time.Second
 	slowStartMillis = 400.0
-	targetShare     = 0.5
+	targetShare     = 0.75
 	overTarget      = 4.0
 	overBoundMillis = 150.0
 	answerShare     = 0.5
-	homeTrust       = 0.5
+	fullOccupancy   = 1.5
+	homeTrust       = 0.8
+	secondTrust     = 0.7
+	evictShare      = 0.5
 	// alike is how far other hosts are taken to have sent what this one did.
 	alike            = 0.25
+	alikeInFlight    = 0.5
 	drainShare       = 0.5
 	batchPatience    = 4.0
 	millisPerSecond  = 1000.0
 	boundedLoadRatio = 1.25
 )
 
-// score rates the entry at i; home tells that it is the prompt's first home.
-func (c *chooser) score(i int, home bool) Terms {
+// score rates the entry at i; guess is the share of the prompt that it is
+// taken to hold whatever events say.
+func (c *chooser) score(i int, guess float64) Terms {
 	e := &c.group.entries[i]
 	endpoint := &c.table.snapshot.Endpoints[e.index]
 	running, backlog := c.load(endpoint)
-	uncached := float64(c.ask.PromptTokens - c.cached(endpoint, home))
+	uncached := float64(c.ask.PromptTokens - c.cached(endpoint, guess))
 	output := float64(c.ask.MaxTokens) * answerShare
 	service := &c.group.service
 	without := c.know.Without
@@ -90,13 +95,16 @@
 		t.Wait = wait
 	}
 	if without&Price == 0 {
-		t.Price = service.CostWeight * e.price * busySeconds(running, uncached, output)
+		t.Price = service.CostWeight * e.price * busySeconds(running, uncached, output, i < c.group.active)
+		if i < c.group.active {
+			t.Price *= max(0, 1-c.group.load/(fullOccupancy*occupancy))
+		}
 	}
 	if without&Link == 0 {
 		t.Link = service.CostWeight * e.link * (float64(c.ask.PromptTokens)*bytesPerToken + output*bytesPerFrame)
 	}
 	if without&Recompute == 0 {
-		t.Recompute = service.RecomputeWeight * uncached
+		t.Recompute = service.RecomputeWeight * (uncached + c.evicted(endpoint))
 	}
 	if without&Target == 0 {
 		t.Target = c.target(wait, running)
@@ -107,14 +115,17 @@
 	return t
 }
 
-// busySeconds is the host time that one more request takes: it shares each
-// step with those running, and keeps an idle host from being handed back.
-func busySeconds(running, uncached, output float64) float64 {
-	seconds := (uncached/prefillPerMilli + output*(tokenMillis/(running+1)+tokenEachMillis)) / millisPerSecond
-	if running < 1 {
-		seconds += handBackSeconds * (1 - running)
-	}
-	return seconds
+// busySeconds is the host time that one more request takes. Active endpoints
+// are paid for in any case, so that there all share a step alike; beyond them a
+// request keeps an idle host from being handed back.
+func busySeconds(running, uncached, output float64, active bool) float64 {
+	hold := 0.0
+	if active {
+		running = occupancy
+	} else if running < 1 {
+		hold = handBackSeconds * (1 - running)
+	}
+	return hold + (uncached/prefillPerMilli+output*(tokenMillis/(running+1)+tokenEachMillis))/millisPerSecond
 }
 
 // target is the part of the wait beyond a share of the target, and a charge
@@ -156,21 +167,31 @@
 		return reported, backlog
 	}
 	fresh := float64(agingAfter) / float64(agingAfter+max(0, c.now.Sub(report.At)))
-	expected := c.group.load*others/(others+1) + float64(own.InFlight)
+	mine := float64(own.InFlight) * (1 + others*alikeInFlight)
+	expected := c.group.load*(1-alikeInFlight)*others/(others+1) + mine
 	return fresh*reported + (1-fresh)*expected, fresh * backlog
 }
 
 // cached estimates the leading prompt tokens that an endpoint holds.
-func (c *chooser) cached(endpoint *fleet.Endpoint, home bool) unit.Tokens {
-	guess := 0.0
-	if home {
-		guess = homeTrust * float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
-	}
+func (c *chooser) cached(endpoint *fleet.Endpoint, guess float64) unit.Tokens {
+	guessed := guess * float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
 	if c.know.Cached == nil || len(c.ask.Blocks) == 0 {
-		return unit.Tokens(guess)
+		return unit.Tokens(guessed)
+	}
+	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
+	return unit.Tokens(max(guessed, trust*float64(held)))
+}
+
+// evicted estimates how many tokens that others need would be lost by storing
+// the prompt: the fuller the cache, the more of them.
+func (c *chooser) evicted(endpoint *fleet.Endpoint) float64 {
+	report := &endpoint.Load
+	if report.CacheCapacity == 0 || c.know.Cached == nil || len(c.ask.Blocks) == 0 {
+		return 0
 	}
 	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
-	return unit.Tokens(max(guess, trust*float64(held)))
+	stored := trust * trust * float64(c.ask.PromptTokens-held)
+	return evictShare * stored * float64(report.CachedTokens) / float64(report.CacheCapacity)
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
