--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -19,6 +19,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
 	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
+	"github.com/dandelionlift/dandelionlift/internal/process/claimer"
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
@@ -52,9 +53,10 @@
 		fx.StartTimeout(startTimeout),
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
-			peer.NewRouter, newMembers, newBudget, newCommandBudget,
+			peer.NewRouter, newMembers, newBudget, newCommandBudget, newClaimer,
+			newReclaim, newPoller,
 		),
-		fx.Invoke(runControl, runPeers, runFront),
+		fx.Invoke(runControl, runClaims, runPeers, runReclaim, runRouting, runFront),
 	)
 }
 
@@ -83,12 +85,11 @@
 func newClients(s settings.Entry, budget *keyvalue.Budget, commands commandBudget) clients {
 	service := keyvalue.HTTP(s.Platform.KeyValue, platformTransport())
 	platform := &http.Client{Transport: &http.Transport{}}
-	endpoints := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}
 	return clients{
 		Cloud:    cloud.HTTP(s.Platform.Cloud, platform),
 		KeyValue: budget.Limit(service),
 		Commands: commandClient{commands.Limit(service)},
-		Engine:   engine.Client{HTTP: endpoints},
+		Engine:   engine.New(nil),
 	}
 }
 
@@ -103,8 +104,8 @@
 	}
 }
 
-func newServer(l life, s settings.Entry, c *controller.Controller, e engine.Client, m *meter.Meter, log *slog.Logger) *Server {
-	server := New(l.ctx, l.group, s, WithSnapshot(c.Snapshot), WithLog(log), WithMeter(m))
+func newServer(l life, s settings.Entry, c *controller.Controller, e engine.Client, m *meter.Meter, log *slog.Logger, claims *claimer.Claimer) *Server {
+	server := New(l.ctx, l.group, s, WithSnapshot(c.Snapshot), WithLog(log), WithMeter(m), WithClaims(ClaimsOf(claims)))
 	server.Engine = e
 	return server
 }
--- a/internal/process/entry/plain.go
+++ b/internal/process/entry/plain.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -14,6 +14,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/request/call"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -26,23 +27,66 @@
 		s.refuse(w, "", failure)
 		return
 	}
-	w.Header().Set(engine.RequestHeader, string(c.Request))
-	ctx, cancel := context.WithTimeout(r.Context(), plainTimeout)
+	running, ok := s.requests.start(c)
+	if !ok {
+		s.refuse(w, string(c.Request), verdict.New(verdict.NotRun, verdict.HostFull, ""))
+		return
+	}
+	s.group.Go(func() error {
+		defer s.requests.end(c.Request)
+		running.plain.finish(s.carryOut(c))
+		return nil
+	})
+	s.followPlain(w, r, running)
+}
+
+// carryOut makes the call, also when its caller is gone by now.
+func (s *Server) carryOut(c call.Call) (engine.PlainAnswer, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(s.ctx, plainTimeout)
+	defer cancel()
+	ctx, cancel = withDeadline(ctx, c.Deadline)
 	defer cancel()
 	release, failure := s.admit(ctx, c)
 	if failure != nil {
-		s.refuse(w, string(c.Request), failure)
-		return
+		return engine.PlainAnswer{}, failure
 	}
 	defer release()
-	answered, failure := s.dispatch(ctx, c)
-	if failure != nil {
-		s.refuse(w, string(c.Request), failure)
+	if !c.Repeatable {
+		return s.once(ctx, c)
+	}
+	return s.dispatch(ctx, c)
+}
+
+// followPlain waits for the outcome and writes it.
+func (s *Server) followPlain(w http.ResponseWriter, r *http.Request, running work) {
+	id := string(running.call.Request)
+	w.Header().Set(engine.RequestHeader, id)
+	select {
+	case <-running.plain.done:
+	case <-r.Context().Done():
+		return
+	}
+	if failure := running.plain.failure; failure != nil {
+		s.refuse(w, id, failure)
 		return
 	}
-	w.Header().Set("Content-Type", answered.contentType)
-	w.WriteHeader(answered.status)
-	w.Write(answered.body)
+	answered := running.plain.answer
+	w.Header().Set("Content-Type", answered.ContentType)
+	w.WriteHeader(answered.Status)
+	w.Write(answered.Body)
+}
+
+// plainResult is how a call to a plain service ended; done is closed once the
+// other fields are set.
+type plainResult struct {
+	done    chan struct{}
+	answer  engine.PlainAnswer
+	failure *verdict.Error
+}
+
+func (p *plainResult) finish(answer engine.PlainAnswer, failure *verdict.Error) {
+	p.answer, p.failure = answer, failure
+	close(p.done)
 }
 
 func (s *Server) readPlainCall(r *http.Request) (call.Call, *verdict.Error) {
@@ -59,12 +103,17 @@
 	if err != nil {
 		return call.Call{}, verdict.Wrap(verdict.NotRun, verdict.BadRequest, err)
 	}
+	deadline, failure := deadlineOf(r, time.Now())
+	if failure != nil {
+		return call.Call{}, failure
+	}
 	path := strings.TrimPrefix(r.URL.Path, "/v1/services/"+string(id))
 	return call.Call{
 		Request:      identity.NewRequest(),
 		Organisation: organisation,
 		Service:      id,
 		Key:          r.Header.Get("Idempotency-Key"),
+		Deadline:     deadline,
 		Method:       r.Method,
 		Path:         path,
 		Query:        r.URL.RawQuery,
@@ -74,50 +123,75 @@
 	}, nil
 }
 
-// plainAnswer is a plain service's whole answer.
-type plainAnswer struct {
-	status      int
-	contentType string
-	body        []byte
-}
-
 // dispatch tries endpoints; after MayHaveRun only a repeatable call goes on.
-func (s *Server) dispatch(ctx context.Context, c call.Call) (plainAnswer, *verdict.Error) {
+func (s *Server) dispatch(ctx context.Context, c call.Call) (engine.PlainAnswer, *verdict.Error) {
 	var tried []identity.Incarnation
 	failure := verdict.New(verdict.NotRun, verdict.NoEndpoint, "")
-	for range mostAttempts {
+	for attempts := range mostAttempts {
 		endpoint, ok := s.choose(c, tried)
 		if !ok {
-			return plainAnswer{}, failure
+			return engine.PlainAnswer{}, failure
 		}
 		tried = append(tried, endpoint.Incarnation)
-		answered, err := s.forward(ctx, c, endpoint.Address.String(), endpoint.Incarnation)
+		answered, err := s.forward(ctx, c, endpoint)
 		if err == nil {
+			s.retries.succeeded(c.Service, s.share(c.Service))
 			return answered, nil
 		}
-		failure = verdict.Of(err)
+		failure = ended(ctx, verdict.Of(err)).After(failure.Verdict)
 		if failure.Verdict != verdict.NotRun && !c.Repeatable {
-			return plainAnswer{}, failure
+			return engine.PlainAnswer{}, failure
+		}
+		if ctx.Err() != nil {
+			return engine.PlainAnswer{}, failure
+		}
+		if refused := s.retry(ctx, c, failure, attempts); refused != nil {
+			return engine.PlainAnswer{}, refused
 		}
-		s.Meter.Retried(failure.Reason)
 	}
-	return plainAnswer{}, failure
+	return engine.PlainAnswer{}, failure
 }
 
-// forward makes one attempt at a plain service.
-func (s *Server) forward(ctx context.Context, c call.Call, address string, incarnation identity.Incarnation) (plainAnswer, error) {
-	target := "http://" + address + c.Path
-	if c.Query != "" {
-		target += "?" + c.Query
+// forward tries an endpoint. A repeatable call that failed on a connection is
+// tried once more on a new one before the endpoint is blamed.
+func (s *Server) forward(ctx context.Context, c call.Call, endpoint fleet.Endpoint) (engine.PlainAnswer, error) {
+	p := plainOf(c, endpoint.Incarnation)
+	if !c.Repeatable {
+		return s.Engine.Forward(ctx, endpoint.Address, p)
 	}
-	response, err := s.Engine.Forward(ctx, c.Method, target, c.ContentType, c.Request, incarnation, bytes.NewReader(c.Body))
-	if err != nil {
-		return plainAnswer{}, err
+	answered, err := s.forwardWithin(ctx, endpoint, p)
+	if err == nil || verdict.Of(err).Verdict == verdict.NotRun || ctx.Err() != nil {
+		return answered, err
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return plainAnswer{}, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointLost, err)
+	if !s.retries.spend(c.Service) {
+		return answered, err
+	}
+	s.Meter.Retried(verdict.Of(err).Reason)
+	p.Repeatable = false
+	return s.forwardWithin(ctx, endpoint, p)
+}
+
+// forwardWithin gives an attempt up when it is silent for too long.
+func (s *Server) forwardWithin(ctx context.Context, endpoint fleet.Endpoint, p engine.Plain) (engine.PlainAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Silence.Between)
+	defer cancel()
+	answered, err := s.Engine.Forward(ctx, endpoint.Address, p)
+	if err != nil && ctx.Err() != nil {
+		return answered, verdict.Wrap(verdict.Of(err).Verdict, verdict.EndpointSilent, err)
+	}
+	return answered, err
+}
+
+func plainOf(c call.Call, incarnation identity.Incarnation) engine.Plain {
+	target := url.URL{Path: c.Path, RawQuery: c.Query}
+	return engine.Plain{
+		Method:      c.Method,
+		Target:      target.String(),
+		ContentType: c.ContentType,
+		Key:         c.Key,
+		Request:     c.Request,
+		Incarnation: incarnation,
+		Body:        c.Body,
+		Repeatable:  c.Repeatable,
 	}
-	return plainAnswer{status: response.StatusCode, contentType: response.Header.Get("Content-Type"), body: body}, nil
 }
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -43,8 +43,10 @@
 	// Silence bounds how long an attempt may go without progress.
 	Silence attempt.Silence
 
+	claims   Claims
 	settings settings.Entry
 	requests *requests
+	retries  *retries
 	group    *errgroup.Group
 	ctx      context.Context
 	stopping atomic.Bool
@@ -54,12 +56,13 @@
 // New makes a server whose work runs in group until ctx ends.
 func New(ctx context.Context, group *errgroup.Group, s settings.Entry, options ...Option) *Server {
 	server := &Server{
-		Engine:   engine.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}}},
+		Engine:   engine.New(nil),
 		Meter:    meter.New(),
 		Log:      slog.Default(),
 		Silence:  attempt.Silence{FirstToken: firstTokenSilence, Between: betweenSilence},
 		settings: s,
 		requests: newRequests(s.Limits.Requests, time.Duration(s.Limits.AnswerKept)),
+		retries:  newRetries(),
 		group:    group,
 		ctx:      ctx,
 		router:   newCallRouter(),
@@ -71,7 +74,6 @@
 }
 
 const (
-	idlePerEndpoint   = 64
 	firstTokenSilence = 10 * time.Second
 	betweenSilence    = 3 * time.Second
 )
@@ -125,33 +127,6 @@
 	s.Meter.Write(w)
 }
 
-// Drain says unready, waits out the balancer's lag, and returns when all work
-// has ended or ctx has.
-func (s *Server) Drain(ctx context.Context) error {
-	s.stopping.Store(true)
-	s.Log.Info("stop_began", "running", s.Running())
-	lag := time.NewTimer(time.Duration(s.settings.Stop.BalancerLag))
-	defer lag.Stop()
-	select {
-	case <-lag.C:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for s.Running() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			s.Log.Warn("stop_cut", "running", s.Running())
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
-const drainPoll = 20 * time.Millisecond
-
 // problem is an error answer after RFC 9457.
 type problem struct {
 	Type    string         `json:"type"`
@@ -194,7 +169,7 @@
 		return http.StatusNotFound
 	case verdict.OrganisationLimit:
 		return http.StatusTooManyRequests
-	case verdict.KeyReused, verdict.KeyExpired, verdict.DuplicateRunning:
+	case verdict.KeyReused, verdict.KeyExpired, verdict.DuplicateRunning, verdict.AlreadyRan:
 		return http.StatusConflict
 	case verdict.DeadlineExceeded:
 		return http.StatusGatewayTimeout
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -44,6 +44,8 @@
 	CacheTokens unit.Tokens
 	// ReportLag is how old a load report is.
 	ReportLag time.Duration
+	// TransferPerSecond is how fast an entry is exported; zero is at once.
+	TransferPerSecond unit.Bytes
 }
 
 // DefaultSpeed is that of a small engine.
@@ -136,12 +138,14 @@
 	router.HandleFunc(wire.LoadPath, e.load).Methods(http.MethodGet)
 	router.HandleFunc(wire.EventsPath, e.events).Methods(http.MethodGet)
 	router.HandleFunc(wire.EntriesPath, e.entries).Methods(http.MethodGet)
+	router.HandleFunc(wire.EntriesPath+"/{id}", e.exportEntry).Methods(http.MethodGet)
 	router.HandleFunc(wire.EntriesPath+"/{id}", e.importEntry).Methods(http.MethodPut)
 	router.HandleFunc(wire.OrdersPath, e.obey).Methods(http.MethodPost)
 	return router
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.RequestHeader, r.Header.Get(wire.RequestHeader))
 	var ask wire.Completion
 	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
 		refuse(w, http.StatusBadRequest, "bad json")
@@ -277,7 +281,7 @@
 		return wire.Usage{}, err
 	}
 	e.mu.Lock()
-	e.cache.store(ask.Organisation, blocks)
+	e.cache.store(ask.Organisation, 0, blocks)
 	e.mu.Unlock()
 	return wire.Usage{PromptTokens: total, CachedTokens: held}, nil
 }
--- a/internal/version/route/score.go
+++ b/internal/version/route/score.go
@@ -34,15 +34,13 @@
 	Recompute float64
 	// Target is what the call would take from the latency target.
 	Target float64
-	// Start holds back from a new endpoint.
-	Start float64
 	// Uncached is how many prompt tokens would be read.
 	Uncached unit.Tokens
 }
 
 // Sum is the score.
 func (t *Terms) Sum() float64 {
-	return t.Wait + t.Price + t.Link + t.Recompute + t.Target + t.Start
+	return t.Wait + t.Price + t.Link + t.Recompute + t.Target
 }
 
 // What an endpoint is taken to do.
@@ -57,14 +55,13 @@
 	reportLag       = 300 * time.Millisecond
 	agingAfter      = 500 * time.Millisecond
 	slowStart       = 10 * time.Second
-	slowStartMillis = 400.0
 	targetShare     = 0.75
 	overTarget      = 4.0
 	overBoundMillis = 150.0
 	answerShare     = 0.5
 	fullOccupancy   = 1.5
-	homeTrust       = 0.8
-	secondTrust     = 0.7
+	homeTrust       = 0.7
+	secondTrust     = 0.6
 	evictShare      = 0.5
 	// alike is how far other hosts are taken to have sent what this one did.
 	alike            = 0.25
@@ -109,9 +106,6 @@
 	if without&Target == 0 {
 		t.Target = c.target(wait, running)
 	}
-	if age := c.now.Sub(endpoint.Since); without&SlowStart == 0 && !endpoint.Since.IsZero() && age < slowStart {
-		t.Start = slowStartMillis * (1 - float64(age)/float64(slowStart))
-	}
 	return t
 }
 
@@ -174,12 +168,13 @@
 
 // cached estimates the leading prompt tokens that an endpoint holds.
 func (c *chooser) cached(endpoint *fleet.Endpoint, guess float64) unit.Tokens {
-	guessed := guess * float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
-	if c.know.Cached == nil || len(c.ask.Blocks) == 0 {
-		return unit.Tokens(guessed)
+	total := float64(len(c.ask.Blocks)) * float64(engine.BlockTokens)
+	if c.know.Cached == nil || total == 0 {
+		return unit.Tokens(guess * total)
 	}
 	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
-	return unit.Tokens(max(guessed, trust*float64(held)))
+	known := trust * float64(held)
+	return unit.Tokens(known + guess*(total-known))
 }
 
 // evicted estimates how many tokens that others need would be lost by storing
@@ -191,7 +186,8 @@
 	}
 	held, trust := c.know.Cached(endpoint.Incarnation, c.ask.Blocks)
 	stored := trust * trust * float64(c.ask.PromptTokens-held)
-	return evictShare * stored * float64(report.CachedTokens) / float64(report.CacheCapacity)
+	full := float64(report.CachedTokens) / float64(report.CacheCapacity)
+	return evictShare * stored * full * full
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
