--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -83,9 +83,13 @@
 }
 
 // runPeers serves the peer listener, and closes it after the front.
-func runPeers(lc fx.Lifecycle, l life, s settings.Entry, router peer.Router, c *controller.Controller, members *member.Members, j *journal.Journal) {
+func runPeers(
+	lc fx.Lifecycle, l life, s settings.Entry, router peer.Router,
+	c *controller.Controller, members *member.Members, j *journal.Journal, front *Server,
+) {
 	members.Mount(router)
 	j.Mount(router)
+	front.MountPeers(router)
 	server := peer.Server(router, s.Peer.Keys)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
