--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -63,7 +63,8 @@
 // newHost makes an Operator over a key-value service.
 func newHost(kv keyvalue.Client) *host {
 	h := &host{snapshot: fleet.New("a-entry-1", "a", start, endpoints)}
-	j := journal.Journal{KeyValue: kv, Adopt: h.adopt}
+	j := journal.New(kv)
+	j.Adopt = h.adopt
 	h.Operator = operator.Operator{
 		Snapshot: h.current, Propose: j.Propose, History: j.History,
 		Work: func() []operator.Work { return []operator.Work{{Request: "r1", Service: "drafts", Tokens: 7}} },
@@ -77,30 +78,36 @@
 	return h
 }
 
-// memory is a key-value service with one key and no faults.
+// memory is a key-value service with no faults.
 func memory() keyvalue.Client {
 	var mu sync.Mutex
-	var stored keyvalue.Value
+	values := make(map[string]keyvalue.Value)
 	return keyvalue.Client{
-		Get: func(context.Context, string) (keyvalue.Value, error) {
+		Get: func(_ context.Context, key string) (keyvalue.Value, error) {
 			mu.Lock()
 			defer mu.Unlock()
+			stored, ok := values[key]
+			if !ok {
+				return stored, keyvalue.ErrAbsent
+			}
 			return stored, nil
 		},
 		Put: func(_ context.Context, key string, put keyvalue.Put) (keyvalue.Value, error) {
 			mu.Lock()
 			defer mu.Unlock()
+			stored := values[key]
 			if put.IfRevision != stored.Revision {
 				return stored, keyvalue.ErrConflict
 			}
 			stored = keyvalue.Value{Key: key, Data: put.Data, Revision: stored.Revision + 1, Writer: put.Writer}
+			values[key] = stored
 			return stored, nil
 		},
 	}
 }
 
 func bootstrapped(t *testing.T, kv keyvalue.Client) keyvalue.Client {
-	err := journal.Journal{KeyValue: kv}.Bootstrap(t.Context(), start)
+	err := journal.New(kv).Bootstrap(t.Context(), start)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	return kv
 }
