entry/reclaim: keep in the history what was resumed and read again

Cause: the history of a host that left told what was carried, not which answers moved off it nor what that cost.

Change: Server.Resumed hears of each answer that began at a leaving endpoint and ended elsewhere, with the tokens that had to be read again; it goes into the record that `show history of host` prints.

--- a/internal/process/entry/assemble.go
+++ b/internal/process/entry/assemble.go
@@ -28,6 +28,7 @@
 	failure := verdict.New(verdict.NotRun, verdict.NoEndpoint, "")
 	var tried []identity.Incarnation
 	idle, offset := 0, w.answer.Offset()
+	var left fleet.Endpoint
 	for idle < mostAttempts {
 		endpoint, ok := s.chooseAgain(ctx, w, &tried, idle > 0 || offset > 0)
 		if !ok {
@@ -37,11 +38,15 @@
 		err := s.attempt(ctx, w, endpoint)
 		if err == nil {
 			s.retries.succeeded(w.call.Service, s.share(w.call.Service))
+			s.resumed(ctx, w, left, endpoint)
 			return
 		}
 		failure = ended(ctx, verdict.Of(err)).After(failure.Verdict)
 		s.Log.Info("attempt_failed", "request", w.call.Request, "endpoint", endpoint.Host,
 			"reason", failure.Reason, "offset", w.answer.Offset(), "error", err)
+		if failure.Reason == verdict.EndpointLeaving {
+			left = endpoint
+		}
 		idle++
 		if now := w.answer.Offset(); now > offset {
 			idle, offset = 1, now
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -42,6 +42,8 @@
 	Log      *slog.Logger
 	// Silence bounds how long an attempt may go without progress.
 	Silence attempt.Silence
+	// Resumed hears of each answer that moved off a leaving endpoint.
+	Resumed func(Resumption)
 
 	claims   Claims
 	settings settings.Entry
