--- /dev/null
+++ b/internal/connection/engine/order.go
@@ -0,0 +1,39 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+)
+
+// ErrStale tells that an engine has obeyed an order with a higher fence.
+var ErrStale = errors.New("engine: order with an old fence")
+
+// Order sends an order. On an error other than ErrStale it may have been obeyed.
+func (c Client) Order(ctx context.Context, address netip.AddrPort, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+OrdersPath, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return ErrStale
+	default:
+		return fmt.Errorf("order to %s: status %d", address, response.StatusCode)
+	}
+}
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -197,6 +197,9 @@
 		WaitingTokens: e.Report.WaitingTokens,
 		CachedTokens:  e.Report.CachedTokens,
 		CacheCapacity: e.Report.CacheCapacity,
+		ModelVersion:  e.Report.ModelVersion,
+		Adapter:       e.Report.Adapter,
+		Role:          e.Report.Role,
 	}
 	s.endpoints[e.Host] = known
 }
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -55,6 +55,10 @@
 	// CachedTokens and CacheCapacity describe the prefix cache.
 	CachedTokens  unit.Tokens
 	CacheCapacity unit.Tokens
+	// ModelVersion, Adapter and Role are what it has loaded.
+	ModelVersion string
+	Adapter      string
+	Role         string
 }
 
 // Snapshot is everything one decision needs. It is immutable once published.
