entry/replacement: wire replacement and loads behind the zone's lease

Cause: both were only tested.

Change: entry builds and runs them; newZoneLease is never held, so that they order nothing until it is exchanged for the lease (one function). Operator.Move stays nil: a move that nobody carries out is not accepted.

--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -54,9 +54,9 @@
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
 			peer.NewRouter, newMembers, newBudget, newClaimer,
-			newReclaim, newPoller,
+			newReclaim, newPoller, newZoneLease, newReplacement, newLoader,
 		),
-		fx.Invoke(runControl, runClaims, runPeers, runReclaim, runRouting, runFront),
+		fx.Invoke(runControl, runClaims, runPeers, runReclaim, runReplacement, runRouting, runFront),
 	)
 }
 
