--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -46,12 +46,14 @@
 	Resumed func(Resumption)
 
 	claims   Claims
+	peers    Peers
 	settings settings.Entry
 	requests *requests
 	retries  *retries
 	group    *errgroup.Group
 	ctx      context.Context
 	stopping atomic.Bool
+	leaving  atomic.Bool
 	router   *router
 }
 
