--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -58,9 +58,9 @@
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
 			peer.NewRouter, newMembers, newBudget, newCommandBudget, newClaimer,
-			newReclaim, newPoller, newGate,
+			newReclaim, newPoller, newGate, newZoneLease, newReplacement, newLoader,
 		),
-		fx.Invoke(runControl, runClaims, runPeers, runReclaim, runRouting, runFront),
+		fx.Invoke(runControl, runClaims, runPeers, runReclaim, runReplacement, runRouting, runFront),
 	)
 }
 
