entry/requests: take no new work once it is being handed over

Cause: a host that had handed its work over still took new calls, which would be cut when it is gone, and a call that waited for admission at that moment was missed.

Change: from then on calls are refused NotRun, host_stopping, Retry-After 1; a call that begins late is ended and handed over like the others. Counters claims_total and handovers_total by outcome. The history now has a host hand over while callers file and draft, who re-attach elsewhere.

Seen to fail: without the refusal TestHandoverTakesNoNewWork.

--- a/internal/process/entry/claims.go
+++ b/internal/process/entry/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -96,6 +97,7 @@
 	}
 	held := claim.Of(c)
 	result := s.claims.Claim(ctx, held)
+	s.Meter.Counter(fmt.Sprintf("claims_total{outcome=%q}", outcomeOf(result))).Inc()
 	if result.Err != nil {
 		return engine.PlainAnswer{}, unclaimed(result.Err)
 	}
@@ -116,6 +118,20 @@
 	return engine.PlainAnswer{}, failure
 }
 
+// outcomeOf names the outcome of a claim for its counter.
+func outcomeOf(result claimer.Result) string {
+	switch {
+	case result.Err != nil || result.Decision == claim.Free:
+		return "unconfirmed"
+	case result.Decision == claim.Held:
+		return "held"
+	case result.Decision == claim.Taken:
+		return "taken"
+	default:
+		return "reused"
+	}
+}
+
 // unclaimed refuses a call that was not sent, and spreads its repeats.
 func unclaimed(cause error) *verdict.Error {
 	failure := verdict.Wrap(verdict.NotRun, verdict.ClaimUnavailable, cause)
--- a/internal/process/entry/completion.go
+++ b/internal/process/entry/completion.go
@@ -75,7 +75,7 @@
 	}
 	running, ok := s.requests.start(c)
 	if !ok {
-		s.refuse(w, string(c.Request), verdict.New(verdict.NotRun, verdict.HostFull, ""))
+		s.refuse(w, string(c.Request), s.full())
 		return
 	}
 	s.begin(running)
--- a/internal/process/entry/handover.go
+++ b/internal/process/entry/handover.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// full tells why no more work is taken: the host is handing its work over, or
+// holds all it may.
+func (s *Server) full() *verdict.Error {
+	reason := verdict.HostFull
+	if s.requests.isStopped() {
+		reason = verdict.HostStopping
+	}
+	failure := verdict.New(verdict.NotRun, reason, "")
+	failure.RetryAfter = time.Second
+	return failure
+}
+
 // give offers a request to peers of the zone until one takes it.
 func (s *Server) give(ctx context.Context, w work) bool {
 	if s.peers.Live == nil {
@@ -104,9 +116,11 @@
 		response, err := s.peer(p).Take(limited, connect.NewRequest(request))
 		cancel()
 		if err == nil && response.Msg.GetTaken() {
+			s.Meter.Counter(`handovers_total{outcome="taken"}`).Inc()
 			s.Log.Info("handed_over", "request", w.call.Request, "to", p.Host, "offset", len(request.Tokens))
 			return true
 		}
+		s.Meter.Counter(`handovers_total{outcome="refused"}`).Inc()
 		s.Log.Warn("handover_refused", "request", w.call.Request, "to", p.Host, "error", err)
 	}
 	return false
--- a/internal/process/entry/handover_test.go
+++ b/internal/process/entry/handover_test.go
@@ -95,3 +95,22 @@
 		c.Assert(d.filed.Runs("f"), qt.Equals, 1)
 	})
 }
+
+// TestHandoverTakesNoNewWork calls a host that has handed its work over.
+func TestHandoverTakesNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(2, 1, 1, nil)
+		defer d.stop()
+		d.hosts[0].server.HandOver(d.ctx)
+		_, model := d.complete(1, d.hosts[0], "history", 20)
+		plain := d.call(1, d.hosts[0], http.MethodPost, "/v1/services/ledger/filings/f", "key", "night")
+		for _, got := range []reply{model, plain} {
+			c.Assert(got.verdict, qt.Equals, "not_run")
+			c.Assert(got.reason, qt.Equals, "host_stopping")
+			c.Assert(got.retryAfter, qt.Equals, "1")
+		}
+		c.Assert(d.computed.Totals().Starts, qt.Equals, 0)
+		c.Assert(d.filed.Runs("f"), qt.Equals, 0)
+	})
+}
--- a/internal/process/entry/history_test.go
+++ b/internal/process/entry/history_test.go
@@ -196,14 +196,20 @@
 	for caller := range historyCallers {
 		group.Go(func() error {
 			random := rand.New(rand.NewPCG(seed, uint64(10+caller)))
-			for range historyCalls {
+			for i := range historyCalls {
 				h.file(d, caller, random)
+				if i%4 == 3 {
+					h.draft(d, caller, random)
+				}
 				time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
 			}
 			h.draft(d, caller, random)
 			return nil
 		})
 	}
+	leaver := rand.New(rand.NewPCG(seed, 3))
+	time.Sleep(time.Duration(leaver.IntN(20_000)) * time.Millisecond)
+	d.hosts[leaver.IntN(len(d.hosts))].server.HandOver(d.ctx)
 	_ = group.Wait()
 	time.Sleep(time.Minute) // Late calls end.
 	for _, request := range h.refused {
@@ -247,6 +253,10 @@
 func (h *history) draft(d *deployment, caller int, random *rand.Rand) {
 	prompt := fmt.Sprintf("prompt of %d %d", caller, random.IntN(1000))
 	text, got := d.complete(caller, d.hosts[random.IntN(len(d.hosts))], prompt, 100)
+	if got.reason == "host_stopping" && got.verdict == "may_have_run" {
+		got = d.call(caller, d.hosts[random.IntN(len(d.hosts))], http.MethodGet, "/v1/requests/"+got.request, "", "")
+		text = completionText(got.body)
+	}
 	if got.err == nil && got.status == http.StatusOK && text != standinengine.Text(prompt, 100) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- a/internal/process/entry/plain.go
+++ b/internal/process/entry/plain.go
@@ -29,7 +29,7 @@
 	}
 	running, ok := s.requests.start(c)
 	if !ok {
-		s.refuse(w, string(c.Request), verdict.New(verdict.NotRun, verdict.HostFull, ""))
+		s.refuse(w, string(c.Request), s.full())
 		return
 	}
 	s.group.Go(func() error {
--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -54,8 +54,10 @@
 	running int
 	// bytes sums up those of all works; it stays below memoryLimit.
 	bytes int
-	limit int
-	kept  time.Duration
+	// stopped is why no more works are taken, or nil.
+	stopped error
+	limit   int
+	kept    time.Duration
 }
 
 func newRequests(limit int, kept time.Duration) *requests {
@@ -68,7 +70,7 @@
 	defer r.mu.Unlock()
 	r.forget(time.Now())
 	size := sizeOf(c)
-	if len(r.works) >= r.limit || r.bytes+size > memoryLimit {
+	if r.stopped != nil || len(r.works) >= r.limit || r.bytes+size > memoryLimit {
 		return work{}, false
 	}
 	r.bytes += size
@@ -89,12 +91,16 @@
 		w.stop = stop
 		r.works[id] = w
 	}
+	if r.stopped != nil {
+		stop(r.stopped)
+	}
 }
 
-// stopAll ends the attempts of all works that have not ended.
+// stopAll ends the attempts of all works that have not ended, and takes no more.
 func (r *requests) stopAll(cause error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.stopped = cause
 	for _, w := range r.works {
 		if w.ended.IsZero() && w.stop != nil {
 			w.stop(cause)
@@ -132,6 +138,12 @@
 	return w, ok
 }
 
+func (r *requests) isStopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopped != nil
+}
+
 func (r *requests) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
