process/entry: send heartbeats on streams that wait for tokens

Cause: while a stream waited for an endpoint, neither the caller nor the host could find out that their connection was gone.

Change: after five seconds without tokens a stream that has begun carries a comment, which readers of server-sent events skip (connection/caller does). One ticker a stream; nothing is added for each token. Streams without a first token are not beaten, as their status is not decided.

Seen to fail: without the comment TestResumeBeatsMeanwhile (engine away for 20 s).

--- a/internal/process/entry/completion.go
+++ b/internal/process/entry/completion.go
@@ -220,11 +220,19 @@
 func (s *Server) followStream(w http.ResponseWriter, r *http.Request, running work, chat bool) {
 	controller := http.NewResponseController(w)
 	started := false
+	beat := time.NewTicker(callerBeat)
+	defer beat.Stop()
 	for offset := unit.Tokens(0); ; {
-		piece, err := running.answer.Read(r.Context(), offset)
+		piece, err := running.answer.ReadUntil(r.Context(), offset, beat.C)
 		if err != nil {
 			return
 		}
+		if piece.Count == 0 && !piece.Done {
+			if started && !s.beat(w, controller) {
+				return
+			}
+			continue
+		}
 		if !started && piece.Failure != nil && piece.Count == 0 {
 			s.refuse(w, string(running.call.Request), piece.Failure)
 			return
@@ -287,7 +295,19 @@
 	}
 }
 
-const slowCaller = 30 * time.Second
+const (
+	slowCaller = 30 * time.Second
+	// callerBeat is the time between heartbeats on a stream.
+	callerBeat = 5 * time.Second
+)
+
+// beat writes a comment, which readers of server-sent events skip, so that
+// either end finds out when the connection is gone.
+func (s *Server) beat(w io.Writer, controller *http.ResponseController) bool {
+	s.allow(controller)
+	fmt.Fprint(w, ": waiting\n\n")
+	return s.flush(controller)
+}
 
 // flush sends what was written, or reports that the caller is gone.
 func (s *Server) flush(controller *http.ResponseController) bool {
--- a/internal/process/entry/resume_test.go
+++ b/internal/process/entry/resume_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -209,3 +210,21 @@
 		c.Assert(attempts.Load() <= calls+50+10, qt.IsTrue, qt.Commentf("%d attempts", attempts.Load()))
 	})
 }
+
+// TestResumeBeatsMeanwhile has the only engine away for a while: the caller's
+// stream must show life, and then go on.
+func TestResumeBeatsMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 1, 0, nil)
+		defer d.stop()
+		time.AfterFunc(2*time.Second, func() {
+			address := d.snapshot.Load().Endpoints[0].Address.Addr()
+			d.network.SetRule(func(from, to netip.Addr) network.Path { return network.Path{Lost: from == address || to == address} })
+			time.AfterFunc(20*time.Second, func() { d.network.SetRule(nil) })
+		})
+		got := d.call(1, d.hosts[0], http.MethodPost, "/v1/completions", "", `{"model":"model","prompt":"p","max_tokens":200,"stream":true}`)
+		c.Assert(strings.Count(got.body, ": waiting") >= 3, qt.IsTrue)
+		c.Assert(strings.HasSuffix(got.body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", got.body[max(0, len(got.body)-300):]))
+	})
+}
--- a/internal/request/answer/answer.go
+++ b/internal/request/answer/answer.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
@@ -172,6 +173,11 @@
 
 // Read waits for tokens from offset on, or for the answer's end.
 func (a *Answer) Read(ctx context.Context, offset unit.Tokens) (Piece, error) {
+	return a.ReadUntil(ctx, offset, nil)
+}
+
+// ReadUntil is Read, but gives an empty piece when tick fires first.
+func (a *Answer) ReadUntil(ctx context.Context, offset unit.Tokens, tick <-chan time.Time) (Piece, error) {
 	for {
 		piece, changed := a.look(offset)
 		if changed == nil {
@@ -179,6 +185,8 @@
 		}
 		select {
 		case <-changed:
+		case <-tick:
+			return piece, nil
 		case <-ctx.Done():
 			return Piece{}, ctx.Err()
 		}
