entry/plain: ask an endpoint over a new connection before it gets a lookup again

Cause: both tries of a lookup at one endpoint were cut after three seconds, so a slow lookup never ended; and a dead endpoint got the second try for nothing.

Change: the second try is paid for, goes out only if the endpoint answers for its load on a new connection, and then has all the time that is left of ten seconds.

Seen to fail: without the probe, and with the short second try, TestResumeOfLookups.

--- a/internal/process/entry/plain.go
+++ b/internal/process/entry/plain.go
@@ -18,7 +18,10 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-const plainTimeout = 10 * time.Second
+const (
+	plainTimeout = 10 * time.Second
+	probeTimeout = time.Second
+)
 
 // plain passes a call to a plain service and its answer back whole.
 func (s *Server) plain(w http.ResponseWriter, r *http.Request) {
@@ -153,7 +156,9 @@
 }
 
 // forward tries an endpoint. A repeatable call that failed on a connection is
-// tried once more on a new one before the endpoint is blamed.
+// tried once more on a new one, if the endpoint answers there, before the
+// endpoint is blamed. It then has all the time that is left: an endpoint that
+// answers may just be slow.
 func (s *Server) forward(ctx context.Context, c call.Call, endpoint fleet.Endpoint) (engine.PlainAnswer, error) {
 	p := plainOf(c, endpoint.Incarnation)
 	if !c.Repeatable {
@@ -163,12 +168,20 @@
 	if err == nil || verdict.Of(err).Verdict == verdict.NotRun || ctx.Err() != nil {
 		return answered, err
 	}
-	if !s.retries.spend(c.Service) {
+	if !s.retries.spend(c.Service) || !s.answers(ctx, endpoint) {
 		return answered, err
 	}
 	s.Meter.Retried(verdict.Of(err).Reason)
 	p.Repeatable = false
-	return s.forwardWithin(ctx, endpoint, p)
+	return s.Engine.Forward(ctx, endpoint.Address, p)
+}
+
+// answers asks an endpoint for its load over a new connection.
+func (s *Server) answers(ctx context.Context, endpoint fleet.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	report, err := engine.Client{HTTP: s.Engine.Fresh}.Load(ctx, endpoint.Address)
+	return err == nil && report.Incarnation == endpoint.Incarnation
 }
 
 // forwardWithin gives an attempt up when it is silent for too long.
--- a/internal/process/entry/resume_test.go
+++ b/internal/process/entry/resume_test.go
@@ -228,3 +228,32 @@
 		c.Assert(strings.HasSuffix(got.body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", got.body[max(0, len(got.body)-300):]))
 	})
 }
+
+// TestResumeOfLookups makes lookups while one ledger is silent on every
+// connection, and while all are slow: both must be answered.
+func TestResumeOfLookups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 0, 2, nil)
+		defer d.stop()
+		const path = "/v1/services/ledger/filings/f"
+		for range 20 {
+			c.Assert(d.call(1, d.hosts[0], http.MethodGet, path, "", "").status, qt.Equals, http.StatusOK)
+		}
+		address := d.snapshot.Load().Endpoints[0].Address.Addr()
+		d.network.SetRule(func(from, _ netip.Addr) network.Path { return network.Path{Lost: from == address} })
+		for range 20 {
+			began := time.Now()
+			c.Assert(d.call(1, d.hosts[0], http.MethodGet, path, "", "").status, qt.Equals, http.StatusOK)
+			c.Assert(time.Since(began) < 6*time.Second, qt.IsTrue)
+		}
+		d.network.SetRule(nil)
+		d.front = func(_ http.ResponseWriter, r *http.Request) bool {
+			if r.URL.Path != engine.LoadPath {
+				time.Sleep(5 * time.Second)
+			}
+			return false
+		}
+		c.Assert(d.call(1, d.hosts[0], http.MethodGet, path, "", "").status, qt.Equals, http.StatusOK)
+	})
+}
