route/eject: try a zone that is cut off last, and say so in refusals

Cause: ejection is bounded to a third, so that a zone cut off from two others would have sent half of its calls to endpoints that it can't reach. Ruled out: a wider bound on ejection, which a fault of one's own link would use to empty zones. Change: where all endpoints of another zone fail and others don't, they come last and their slots don't count; a refusal for want of slots then says zone_cut_off. Proof: TestRouteCutOffZoneServesItself seen to fail without the order, TestAdmissionRefusesEarlyAndBoundsTheQueue without the reason.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -52,6 +52,8 @@
 	Running, Waiting int
 	// FirstToken is the latency target; zero means none.
 	FirstToken time.Duration
+	// CutOff tells that zones with endpoints of the service can't be reached.
+	CutOff bool
 }
 
 // Organisation is what admission needs to know of an organisation now.
--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -34,6 +34,7 @@
 	slots int
 	// believed is what the Gate takes slots for, if not zero.
 	believed int
+	cutOff   bool
 	running  int
 	queue    []chan struct{}
 	tokens   map[identity.Organisation]unit.Tokens
@@ -54,7 +55,7 @@
 		if b.believed > 0 {
 			believed = b.believed
 		}
-		return admission.Service{Slots: believed, Running: b.running, Waiting: len(b.queue), FirstToken: target}
+		return admission.Service{Slots: believed, Running: b.running, Waiting: len(b.queue), FirstToken: target, CutOff: b.cutOff}
 	}
 	b.gate = admission.New(service, func(id identity.Organisation) admission.Organisation {
 		o := b.organisations[id]
@@ -385,6 +386,11 @@
 			c.Check(failure.Reason, qt.Equals, verdict.TargetOutOfReach)
 			c.Check(failure.RetryAfter > 0, qt.IsTrue)
 			c.Check(waited, qt.Equals, time.Duration(0))
+			b.cutOff = true
+			failure, _ = b.call(ctx, admission.Ask{Service: "s", Organisation: "a"}, 0)
+			c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
+			c.Check(failure.Reason, qt.Equals, verdict.ZoneCutOff)
+			b.cutOff = false
 			failure, waited = b.call(ctx, admission.Ask{Service: "s", Organisation: "a", Batch: true}, 0)
 			c.Check(failure.Reason, qt.Equals, verdict.QueueTimeout)
 			c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
--- a/internal/process/admission/state.go
+++ b/internal/process/admission/state.go
@@ -116,7 +116,7 @@
 		bound = min(bound, ask.Deadline.Sub(now))
 	}
 	if v.known.Slots > 0 && wait > bound {
-		return nil, refuse(verdict.TargetOutOfReach, wait, fmt.Sprintf("would wait %s", wait.Round(time.Millisecond)))
+		return nil, refuse(v.full(verdict.TargetOutOfReach), wait, fmt.Sprintf("would wait %s", wait.Round(time.Millisecond)))
 	}
 	t.expires = now.Add(bound)
 	v.queues[t.class].push(t, o.Weight)
@@ -139,6 +139,15 @@
 	return failure
 }
 
+// full is the reason for a refusal for want of slots: that zones are cut off
+// goes before the usual one.
+func (v *service) full(usual verdict.Reason) verdict.Reason {
+	if v.known.CutOff {
+		return verdict.ZoneCutOff
+	}
+	return usual
+}
+
 // bound is how long a call may wait for a slot.
 func (v *service) bound(t *ticket) time.Duration {
 	if t.class == batch {
@@ -215,7 +224,7 @@
 		s.refresh(v)
 		for c := range v.queues {
 			v.queues[c].expire(now, func(t *ticket) {
-				t.decide(refuse(verdict.QueueTimeout, v.hold, "no slot came free"))
+				t.decide(refuse(v.full(verdict.QueueTimeout), v.hold, "no slot came free"))
 			})
 		}
 		s.serve(now, v)
--- a/internal/process/entry/routing.go
+++ b/internal/process/entry/routing.go
@@ -102,9 +102,11 @@
 func (s *Server) service(id identity.Service) admission.Service {
 	snapshot := s.Snapshot()
 	known, _ := snapshot.Configuration.Service(id)
-	slots, running, waiting := s.router.prepared(snapshot).Capacity(id)
+	table := s.router.prepared(snapshot)
+	slots, running, waiting := table.Capacity(id)
 	return admission.Service{
 		Slots: slots, Running: running, Waiting: waiting, FirstToken: time.Duration(known.FirstToken),
+		CutOff: table.CutOff(id),
 	}
 }
 
--- a/internal/version/route/eject.go
+++ b/internal/version/route/eject.go
@@ -39,3 +39,25 @@
 	}
 	return ejected
 }
+
+// unreachable names the zones, not the host's own, all of whose endpoints of a
+// service fail while others don't: the link to them is lost rather than they.
+// Their endpoints are tried last.
+func unreachable(s *fleet.Snapshot, service identity.Service, failing func(identity.Incarnation) bool) map[identity.Zone]bool {
+	if failing == nil {
+		return nil
+	}
+	well := make(map[identity.Zone]bool)
+	for _, i := range s.Serving(service) {
+		e := &s.Endpoints[i]
+		if !e.Leaving && !failing(e.Incarnation) {
+			well[e.Zone] = true
+		}
+	}
+	lost := make(map[identity.Zone]bool)
+	for _, i := range s.Serving(service) {
+		zone := s.Endpoints[i].Zone
+		lost[zone] = len(well) > 0 && !well[zone] && zone != s.Zone
+	}
+	return lost
+}
--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -162,7 +162,7 @@
 	if !ok {
 		return
 	}
-	if i, ok := c.group.byIncarnation[incarnation]; ok {
+	if i, ok := c.group.byIncarnation[incarnation]; ok && i < c.group.reachable {
 		c.add(i, 0)
 	}
 }
@@ -176,7 +176,7 @@
 	if len(g.near) > 0 {
 		c.add(g.near[c.random.IntN(len(g.near))], 0)
 	}
-	if beyond := len(g.entries) - g.active; beyond > 0 {
+	if beyond := g.reachable - g.active; beyond > 0 {
 		c.add(g.active+c.random.IntN(min(beyond, spillFrom)), 0)
 	}
 }
--- a/internal/version/route/route_test.go
+++ b/internal/version/route/route_test.go
@@ -219,6 +219,37 @@
 	c.Assert(share()["a"], qt.Equals, 400)
 }
 
+// A zone that is cut off from the others, whose endpoints all fail, sends nothing
+// there any more but what its own endpoints can't take after they failed too.
+func TestRouteCutOffZoneServesItself(t *testing.T) {
+	c := qt.New(t)
+	config, list := deployment(18, "a", "b", "c")
+	cut := func(i identity.Incarnation) bool {
+		for _, e := range list {
+			if e.Incarnation == i {
+				return e.Zone != "a"
+			}
+		}
+		return false
+	}
+	random := rand.New(rand.NewPCG(1, 8))
+	tbl := table(config, list, cut)
+	var own []identity.Incarnation
+	for _, e := range list {
+		if e.Zone == "a" {
+			own = append(own, e.Incarnation)
+		}
+	}
+	for range 300 {
+		e, ok := pick(tbl, route.Ask{Service: "model", PromptTokens: 500, MaxTokens: 100, Blocks: []engine.Block{engine.Block(random.Uint64())}}, route.Knowledge{}, random)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(e.Zone, qt.Equals, identity.Zone("a"))
+	}
+	e, ok := pick(tbl, route.Ask{Service: "model", Tried: own}, route.Knowledge{}, random)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(e.Zone, qt.Not(qt.Equals), identity.Zone("a"))
+}
+
 // The targets of the users' letter, on one seed: see BenchmarkPolicy.
 func TestRoutePolicyMeetsItsTargets(t *testing.T) {
 	for _, w := range workloads {
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -26,7 +26,9 @@
 type group struct {
 	service configuration.Service
 	// entries is sorted by price and holds none that leaves or is ejected.
-	entries []entry
+	// Those from reachable on are in zones where all fail; they come last.
+	entries   []entry
+	reachable int
 	// hashes are those of entries, side by side for rendezvous.
 	hashes []uint64
 	// active counts the leading entries that get work first, at least 1 unless
@@ -106,7 +108,7 @@
 		return 0, 0, 0
 	}
 	each := slotsEach(g.service)
-	for _, e := range g.entries {
+	for _, e := range g.entries[:g.reachable] {
 		load := t.snapshot.Endpoints[e.index].Load
 		running += load.Running
 		waiting += load.Waiting
@@ -119,6 +121,12 @@
 	return slots, running, waiting
 }
 
+// CutOff tells that zones which have endpoints of a service can't be reached.
+func (t *Table) CutOff(service identity.Service) bool {
+	g := t.groups[service]
+	return g != nil && g.reachable < len(g.entries)
+}
+
 // slotsEach is how many calls one endpoint runs before the time between tokens
 // is over the target while a prompt is read.
 func slotsEach(s configuration.Service) int {
@@ -157,12 +165,16 @@
 		}
 		g.entries = append(g.entries, newEntry(s, i))
 	}
+	lost := unreachable(s, service.ID, failing)
 	slices.SortFunc(g.entries, func(a, b entry) int {
-		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.hash, b.hash))
+		return cmp.Or(cmpBool(lost[s.Endpoints[a.index].Zone], lost[s.Endpoints[b.index].Zone]), cmp.Compare(a.price, b.price), cmp.Compare(a.hash, b.hash))
 	})
 	for i, e := range g.entries {
 		endpoint := &s.Endpoints[e.index]
 		g.byIncarnation[endpoint.Incarnation] = i
+		if !lost[endpoint.Zone] {
+			g.reachable = i + 1
+		}
 		g.hashes = append(g.hashes, e.hash)
 		if endpoint.Zone == s.Zone {
 			g.near = append(g.near, i)
@@ -171,6 +183,17 @@
 	return g
 }
 
+// cmpBool orders false before true.
+func cmpBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 func newEntry(s *fleet.Snapshot, i int) entry {
 	endpoint := &s.Endpoints[i]
 	e := entry{index: i, hash: xxh3.HashString(string(endpoint.Incarnation))}
@@ -217,9 +240,9 @@
 	}
 	needed := int(math.Ceil(g.demand*(1+headroom)/occupancy)) + 1
 	if g.service.Kind == configuration.Plain || reports == 0 {
-		needed = len(g.entries)
+		needed = g.reachable
 	}
-	g.active = min(len(g.entries), max(needed, worth))
+	g.active = min(g.reachable, max(needed, worth))
 	if g.active > 0 {
 		g.load = g.demand / float64(g.active)
 	}
