route/policy: part the bench's fake engine and host from its loop

Ruled out: a package of its own, since tests live in test files. Change: engine_test.go, host_test.go and policy_test.go; an unused field gone.

--- a/internal/version/route/policy_test.go
+++ b/internal/version/route/policy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	containers "container/heap"
-	"container/list"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -115,157 +114,23 @@
 
 // request is one call; a reclaimed one goes on with what it has generated.
 type request struct {
-	id           identity.Request
-	host         *fakeHost
-	organisation int
-	blocks       []engine.Block
-	batch        bool
-	arrived      time.Duration
-	firstToken   time.Duration
-	lastToken    time.Duration
-	generated    int
-	output       int
-	toRead       int
-	reading      bool
-	remote       bool
-	done         func()
+	id         identity.Request
+	host       *fakeHost
+	blocks     []engine.Block
+	batch      bool
+	arrived    time.Duration
+	firstToken time.Duration
+	lastToken  time.Duration
+	generated  int
+	output     int
+	toRead     int
+	reading    bool
+	remote     bool
+	done       func()
 }
 
 func (r *request) prompt() int { return len(r.blocks)*int(engine.BlockTokens) + r.generated }
 
-type fakeEngine struct {
-	endpoint         fleet.Endpoint
-	region           string
-	price            float64
-	running, waiting []*request
-	stepping         bool
-	gone             bool
-	paidUntil        time.Duration
-	paid             time.Duration
-	cached           map[engine.Block]*list.Element
-	order            *list.List
-	log              []engine.CacheEvent
-	sequence         uint64
-	history          []fleet.Load
-}
-
-func (e *fakeEngine) reset() {
-	e.cached, e.order = make(map[engine.Block]*list.Element), list.New()
-	e.running, e.waiting, e.log, e.sequence = nil, nil, nil, 0
-}
-
-func (e *fakeEngine) note(block engine.Block, stored bool) {
-	e.sequence++
-	e.log = append(e.log, engine.CacheEvent{Sequence: e.sequence, Stored: stored, Block: block, Tokens: engine.BlockTokens})
-}
-
-func (e *fakeEngine) store(blocks []engine.Block) {
-	for _, b := range blocks {
-		if held, ok := e.cached[b]; ok {
-			e.order.MoveToFront(held)
-			continue
-		}
-		e.cached[b] = e.order.PushFront(b)
-		e.note(b, true)
-	}
-	for e.order.Len() > cacheBlocks {
-		oldest := e.order.Remove(e.order.Back()).(engine.Block)
-		delete(e.cached, oldest)
-		e.note(oldest, false)
-	}
-}
-
-// start moves waiting requests into the batch, interactive ones first.
-func (s *sim) start(e *fakeEngine) {
-	for len(e.running) < batchSize && len(e.waiting) > 0 {
-		next := 0
-		for next < len(e.waiting)-1 && e.waiting[next].batch {
-			next++
-		}
-		if e.waiting[next].batch {
-			next = 0
-		}
-		r := e.waiting[next]
-		e.waiting = append(e.waiting[:next], e.waiting[next+1:]...)
-		hits := 0
-		for hits < len(r.blocks) && e.cached[r.blocks[hits]] != nil {
-			e.order.MoveToFront(e.cached[r.blocks[hits]])
-			hits++
-		}
-		for _, b := range r.blocks[hits:] {
-			if s.seen[b] && s.now > warmUp {
-				s.result.recomputed += int(engine.BlockTokens)
-			}
-			s.seen[b] = true
-		}
-		r.toRead = max(1, r.prompt()-hits*int(engine.BlockTokens))
-		r.reading = true
-		e.running = append(e.running, r)
-	}
-}
-
-func (s *sim) step(e *fakeEngine) {
-	s.start(e)
-	if len(e.running) == 0 || e.gone {
-		e.stepping = false
-		return
-	}
-	e.stepping = true
-	left := stepTokens
-	var emits []*request
-	for _, r := range e.running {
-		read := min(left, r.toRead)
-		r.toRead -= read
-		left -= read
-		if r.toRead == 0 {
-			emits = append(emits, r)
-		}
-	}
-	took := stepBase + time.Duration(len(e.running)-1)*stepEach + time.Duration(stepTokens-left)*time.Second/prefillRate
-	end := s.now + took
-	e.paid += end + handBack - max(e.paidUntil, s.now)
-	e.paidUntil = end + handBack
-	incarnation := e.endpoint.Incarnation
-	s.at(end, func() {
-		if e.gone || e.endpoint.Incarnation != incarnation {
-			return
-		}
-		for _, r := range emits {
-			s.emit(e, r)
-		}
-		s.step(e)
-	})
-}
-
-func (s *sim) emit(e *fakeEngine, r *request) {
-	at := s.now + callerLatency
-	if r.remote {
-		at += regionLatency
-	}
-	r.generated++
-	if r.reading {
-		r.reading = false
-		e.store(r.blocks)
-	}
-	switch {
-	case r.firstToken == 0:
-		r.firstToken = at
-	case r.arrived > warmUp && !r.batch:
-		s.result.gaps[min(len(s.result.gaps)-1, int((at-r.lastToken)/time.Millisecond))]++
-	}
-	r.lastToken = at
-	if r.generated < r.output {
-		return
-	}
-	for i, other := range e.running {
-		if other == r {
-			e.running = append(e.running[:i], e.running[i+1:]...)
-			break
-		}
-	}
-	s.finish(e, r)
-}
-
 // send dispatches to the policy's choice, and again when the host was taken.
 func (s *sim) send(r *request) {
 	i := s.policy.choose(r.host, r)
@@ -335,102 +200,6 @@
 	}
 }
 
-// fakeHost is one entry host with its own late view of the engines.
-type fakeHost struct {
-	index       int
-	region      string
-	snapshot    *fleet.Snapshot
-	outstanding []int
-	turn        int
-	random      *rand.Rand
-	seenEvents  []uint64
-	resyncAt    []time.Duration
-	reports     []fleet.Load
-}
-
-func simTime(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
-
-// poll refreshes a host's view; reports are as old as the fault makes them.
-func (s *sim) poll(h *fakeHost) {
-	every := pollEvery
-	if s.fault == "lagging_reports" {
-		every *= 5
-	}
-	for i, e := range s.engines {
-		if len(e.history) > 0 {
-			h.reports[i] = e.history[0]
-			h.reports[i].At = simTime(s.now)
-		}
-		if s.policy.cacheEvents == nil || (s.fault == "gaps" && h.random.Float64() < 0.3) {
-			h.seenEvents[i] = e.sequence
-			s.resync(h, i)
-			continue
-		}
-		from := len(e.log) - int(e.sequence-min(e.sequence, h.seenEvents[i]))
-		batch := e.log[max(0, from):]
-		h.seenEvents[i] = e.sequence
-		incarnation := e.endpoint.Incarnation
-		s.at(s.now+time.Second, func() { s.policy.cacheEvents(h, i, incarnation, batch) })
-	}
-	s.look(h)
-	s.at(s.now+every, func() { s.poll(h) })
-}
-
-// resync reads all that an engine holds, seldom, some time after a gap.
-func (s *sim) resync(h *fakeHost, i int) {
-	if s.policy.resync == nil || s.now < h.resyncAt[i] {
-		return
-	}
-	h.resyncAt[i] = s.now + resyncEvery
-	s.at(s.now+resyncEvery/2, func() {
-		e := s.engines[i]
-		var blocks []engine.Block
-		for b := range e.cached {
-			blocks = append(blocks, b)
-		}
-		s.policy.resync(h, e.endpoint.Incarnation, e.sequence, blocks)
-	})
-}
-
-// look rebuilds a host's snapshot; who is leaving is known at once.
-func (s *sim) look(h *fakeHost) {
-	list := make([]fleet.Endpoint, 0, len(s.engines))
-	for i, e := range s.engines {
-		if e.gone {
-			continue
-		}
-		seen := e.endpoint
-		seen.Load = h.reports[i]
-		if seen.Load.At.Before(seen.Since) {
-			seen.Load = fleet.Load{}
-		}
-		list = append(list, seen)
-	}
-	h.snapshot = fleet.New(identity.Host(fmt.Sprintf("h%d", h.index)), identity.Zone(h.region+"-a"), s.config, list)
-}
-
-// record lets each engine keep a report, of which the oldest is shown.
-func (s *sim) record() {
-	lag := reportLag
-	if s.fault == "lagging_reports" {
-		lag = 3 * time.Second
-	}
-	for _, e := range s.engines {
-		load := fleet.Load{
-			At: simTime(s.now), Running: len(e.running), Waiting: len(e.waiting),
-			CachedTokens: unit.Tokens(e.order.Len()) * engine.BlockTokens, CacheCapacity: cacheBlocks * engine.BlockTokens,
-		}
-		for _, r := range append(e.running, e.waiting...) {
-			load.WaitingTokens += unit.Tokens(max(0, r.toRead))
-		}
-		e.history = append(e.history, load)
-		for len(e.history) > 1 && !e.history[1].At.After(simTime(s.now-lag)) {
-			e.history = e.history[1:]
-		}
-	}
-	s.at(s.now+100*time.Millisecond, s.record)
-}
-
 // converse plays one conversation: each turn adds to the prompt.
 func (s *sim) converse() {
 	swing := 1 + 0.5*math.Sin(float64(s.now)/float64(20*time.Second))
@@ -449,20 +218,20 @@
 		blocks = append(blocks, engine.Block(mix.Uint64()))
 	}
 	turns := s.work.turns[0] + random.IntN(s.work.turns[1]-s.work.turns[0]+1)
-	s.turn(random, organisation, blocks, turns, random.Float64() < s.work.batchShare)
+	s.turn(random, blocks, turns, random.Float64() < s.work.batchShare)
 }
 
-func (s *sim) turn(random *rand.Rand, organisation int, blocks []engine.Block, left int, batch bool) {
+func (s *sim) turn(random *rand.Rand, blocks []engine.Block, left int, batch bool) {
 	host := s.hosts[random.IntN(len(s.hosts))]
 	for range 1 + random.IntN(6) {
 		blocks = append(blocks, engine.Block(random.Uint64()))
 	}
-	r := &request{id: identity.Request(strconv.Itoa(s.result.events)), host: host, organisation: organisation, blocks: blocks, batch: batch, arrived: s.now}
+	r := &request{id: identity.Request(strconv.Itoa(s.result.events)), host: host, blocks: blocks, batch: batch, arrived: s.now}
 	r.output = s.work.output/2 + random.IntN(s.work.output)
 	r.done = func() {
 		if left > 1 {
 			pause := time.Duration((3 + random.ExpFloat64()*10) * float64(time.Second))
-			s.at(s.now+pause, func() { s.turn(random, organisation, blocks[:len(blocks):len(blocks)], left-1, batch) })
+			s.at(s.now+pause, func() { s.turn(random, blocks[:len(blocks):len(blocks)], left-1, batch) })
 		}
 	}
 	s.at(s.now+callerLatency, func() { s.send(r) })
