operator/outcome: count operators' lines by how they ended

Cause: callers' refusals had counters, operators' had none. Seen to fail: with conflicts counted as refusals, TestOperatorOverHTTP; it also fails on an outcome that the page doesn't name.

--- a/internal/process/entry/operators.go
+++ b/internal/process/entry/operators.go
@@ -8,9 +8,12 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
 	"github.com/dandelionlift/dandelionlift/internal/process/member"
+	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/operator"
 	"github.com/dandelionlift/dandelionlift/internal/process/reclaim"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
@@ -51,10 +54,22 @@
 			return events
 		},
 		Explain: server.Explain,
+		Count:   countLines(server.Meter),
 		Log:     log,
 	}
 }
 
+// countLines makes a counter for each outcome of operators' lines.
+func countLines(m *meter.Meter) func(operator.Outcome) {
+	counter := func(outcome operator.Outcome) *metrics.Counter {
+		return m.Counter(fmt.Sprintf("operator_lines_total{outcome=%q}", outcome))
+	}
+	for _, outcome := range operator.Outcomes {
+		counter(outcome)
+	}
+	return func(outcome operator.Outcome) { counter(outcome).Inc() }
+}
+
 // detail tells the amounts of an event that are not zero.
 func detail(e reclaim.Event) string {
 	var parts []string
--- a/internal/process/operator/http_test.go
+++ b/internal/process/operator/http_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 
@@ -15,6 +16,8 @@
 
 func TestOperatorOverHTTP(t *testing.T) {
 	amal := newHost(bootstrapped(t, memory()))
+	counted := make(map[operator.Outcome]int)
+	amal.Count = func(o operator.Outcome) { counted[o]++ }
 	router := mux.NewRouter()
 	amal.Routes(router)
 	down := newHost(memory())
@@ -49,6 +52,17 @@
 		quicktest.Check(t, w.Code, quicktest.Equals, test.status, quicktest.Commentf("%s", test.body))
 		quicktest.Check(t, answer.Error, quicktest.Matches, test.want)
 	}
+	amal.ask("z", "amal", "set service drafts retry_share = 0.3 dry run")
+	down.Count = amal.Count
+	down.ask("z", "amal", "set service drafts retry_share = 0.2")
+	quicktest.Assert(t, counted, quicktest.DeepEquals, map[operator.Outcome]int{
+		operator.Answered: 1, operator.Previewed: 1, operator.Accepted: 1, operator.Refused: 1, operator.AtOdds: 1, operator.Unsettled: 1,
+	})
+	docs, err := os.ReadFile("../../../docs/METRICS.md")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	for _, outcome := range operator.Outcomes {
+		quicktest.Check(t, string(docs), quicktest.Contains, "`"+string(outcome)+"`")
+	}
 	history := amal.ask("", "amal", "show history")
 	quicktest.Assert(t, history.Rows, quicktest.HasLen, 1)
 	quicktest.Assert(t, history.Rows[0][2], quicktest.Equals, "amal")
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -83,7 +83,9 @@
 	Confirmations func() []Confirmation
 	// EntryHosts lists the entry hosts that are known to live.
 	EntryHosts func() []EntryHost
-	Log        *slog.Logger
+	// Count hears how each line ended; nil is not told.
+	Count func(Outcome)
+	Log   *slog.Logger
 }
 
 // Work is one line of "show work".
@@ -121,23 +123,32 @@
 
 // Answer carries out one line of the operator called by.
 func (o Operator) Answer(ctx context.Context, by string, ask Ask) Table {
+	answer, previewed := o.answer(ctx, by, ask)
+	if o.Count != nil {
+		o.Count(answer.outcome(previewed))
+	}
+	return answer
+}
+
+// answer reports beside the answer whether it was a dry run.
+func (o Operator) answer(ctx context.Context, by string, ask Ask) (Table, bool) {
 	parsed, err := parse(ask.Line)
 	if err != nil {
-		return refused(err)
+		return refused(err), false
 	}
 	c, err := o.command(by, ask, parsed)
 	if err != nil {
-		return refused(err)
+		return refused(err), false
 	}
 	if c.order == nil {
-		return o.query(ctx, ask.Line, parsed)
+		return o.query(ctx, ask.Line, parsed), false
 	}
 	answer := o.carryOut(ctx, c)
 	if o.Log != nil {
 		o.Log.Info("operator_command", "command", c.id, "operator", by, "line", c.line, "dry_run", c.dryRun,
 			"version", answer.Version, "error", answer.Error)
 	}
-	return answer
+	return answer, c.dryRun
 }
 
 func (o Operator) query(ctx context.Context, text string, parsed *line) Table {
