version/change: pass moves and stops on by themselves

Cause: a change of the operators' orders was not in the delta's lists, so that each move or stop carried the whole configuration through the log: right, but up to a megabyte for a hundred bytes, and refused where the configuration is near a value's size.

Change: moves are a list by number; stops, which are kept in the order of their coming, pass on how many of the oldest drop out and which are new. Ruled out: sorting stops by host, which would lose what is oldest.

Seen to fail: without stops in the delta, TestConfigChangeOfOrdersIsSmall finds the whole configuration.

--- a/internal/version/change/change.go
+++ b/internal/version/change/change.go
@@ -28,6 +28,8 @@
 	Organisations *List[configuration.Organisation, identity.Organisation] `json:"organisations,omitempty"`
 	Prices        *List[configuration.Price, PriceKey]                     `json:"prices,omitempty"`
 	Links         *List[configuration.Link, LinkKey]                       `json:"links,omitempty"`
+	Moves         *List[configuration.Move, identity.Version]              `json:"moves,omitempty"`
+	Stops         *Stops                                                   `json:"stops,omitempty"`
 	// Whole replaces everything, in place of the lists.
 	Whole *configuration.Configuration `json:"whole,omitempty"`
 }
@@ -38,6 +40,13 @@
 	Drop []K `json:"drop,omitempty"`
 }
 
+// Stops is what changed in the stops, which are kept in the order of their
+// coming: the oldest drop out, new ones are added.
+type Stops struct {
+	Drop int                  `json:"drop,omitempty"`
+	Add  []configuration.Stop `json:"add,omitempty"`
+}
+
 // PriceKey names a price.
 type PriceKey struct {
 	Zone  identity.Zone  `json:"zone"`
@@ -56,6 +65,8 @@
 func priceKey(p configuration.Price) PriceKey                            { return PriceKey{Zone: p.Zone, Class: p.Class} }
 func linkKey(l configuration.Link) LinkKey                               { return LinkKey{From: l.From, To: l.To} }
 
+func moveKey(m configuration.Move) identity.Version { return m.Number }
+
 func comparePrices(a, b PriceKey) int {
 	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Class, b.Class))
 }
@@ -72,6 +83,8 @@
 		Organisations: listBetween(older.Organisations, newer.Organisations, organisationKey),
 		Prices:        listBetween(older.Prices, newer.Prices, priceKey),
 		Links:         listBetween(older.Links, newer.Links, linkKey),
+		Moves:         listBetween(older.Moves, newer.Moves, moveKey),
+		Stops:         stopsBetween(older.Stops, newer.Stops),
 	}
 	if !reflect.DeepEqual(c.Apply(older, newer.Version), newer) {
 		newer.Version = 0
@@ -94,6 +107,8 @@
 	next.Organisations = c.Organisations.apply(older.Organisations, organisationKey, cmp.Compare)
 	next.Prices = c.Prices.apply(older.Prices, priceKey, comparePrices)
 	next.Links = c.Links.apply(older.Links, linkKey, compareLinks)
+	next.Moves = c.Moves.apply(older.Moves, moveKey, cmp.Compare)
+	next.Stops = c.Stops.apply(older.Stops)
 	return next
 }
 
@@ -103,11 +118,13 @@
 	c = c.Clone()
 	c.Zones, c.Services = orNil(c.Zones), orNil(c.Services)
 	c.Organisations, c.Prices, c.Links = orNil(c.Organisations), orNil(c.Prices), orNil(c.Links)
+	c.Moves, c.Stops = orNil(c.Moves), orNil(c.Stops)
 	sortBy(c.Zones, zoneKey, cmp.Compare)
 	sortBy(c.Services, serviceKey, cmp.Compare)
 	sortBy(c.Organisations, organisationKey, cmp.Compare)
 	sortBy(c.Prices, priceKey, comparePrices)
 	sortBy(c.Links, linkKey, compareLinks)
+	sortBy(c.Moves, moveKey, cmp.Compare)
 	return c
 }
 
@@ -147,6 +164,31 @@
 	return &l
 }
 
+// stopsBetween finds how many of the oldest drop out for the rest to lead on to
+// newer; nil for stops that are alike.
+func stopsBetween(older, newer []configuration.Stop) *Stops {
+	if slices.Equal(older, newer) {
+		return nil
+	}
+	for drop := range len(older) + 1 {
+		kept := older[drop:]
+		if len(kept) <= len(newer) && slices.Equal(kept, newer[:len(kept)]) {
+			return &Stops{Drop: drop, Add: newer[len(kept):]}
+		}
+	}
+	return nil
+}
+
+// apply gives new stops; more to drop than there are, as after a lost change,
+// leaves none of the old.
+func (s *Stops) apply(older []configuration.Stop) []configuration.Stop {
+	if s == nil {
+		return older
+	}
+	drop := min(max(s.Drop, 0), len(older))
+	return orNil(append(slices.Clone(older[drop:]), s.Add...))
+}
+
 // apply gives a new list; an untouched one is shared.
 func (l *List[T, K]) apply(older []T, key func(T) K, compare func(a, b K) int) []T {
 	if l == nil {
--- a/internal/version/change/change_test.go
+++ b/internal/version/change/change_test.go
@@ -30,6 +30,9 @@
 		if r.IntN(2) == 0 {
 			c.Prices = append(c.Prices, configuration.Price{Zone: "z", Class: identity.Class(fmt.Sprint("c", i)), OnDemand: unit.Money(r.IntN(2))})
 		}
+		if r.IntN(2) == 0 {
+			c.Moves = append(c.Moves, configuration.Move{Number: identity.Version(i), Service: "s", To: identity.Zone(fmt.Sprint("z", r.IntN(2)))})
+		}
 		if r.IntN(2) == 0 {
 			c.Links = append(c.Links, configuration.Link{From: "r", To: identity.Region(fmt.Sprint("r", i)), PerGigabyte: unit.Money(r.IntN(2))})
 		}
@@ -64,3 +67,21 @@
 		qt.Assert(t, string(after), qt.Equals, string(before))
 	}
 }
+
+func TestConfigChangeOfOrdersIsSmall(t *testing.T) {
+	older := change.Sorted(random(rand.New(rand.NewPCG(1, 1))))
+	for i := range configuration.MostStops + 20 {
+		newer := older.WithStop(configuration.Stop{Host: identity.Host(fmt.Sprint("h", 999-i)), Incarnation: "i"})
+		newer.Moves = append(newer.Moves, configuration.Move{Number: identity.Version(100 + i), Service: "s"})
+		newer = newer.WithoutMove(identity.Version(99 + i))
+		newer.Version = older.Version + 1
+		c := change.Between(older, newer)
+		qt.Assert(t, c.Whole, qt.IsNil)
+		qt.Assert(t, c.Stops.Add, qt.HasLen, 1)
+		qt.Assert(t, c.Apply(older, newer.Version), qt.DeepEquals, newer)
+		older = newer
+	}
+	qt.Assert(t, older.Stops, qt.HasLen, configuration.MostStops)
+	last := older.WithoutMove(older.Moves[len(older.Moves)-1].Number)
+	qt.Assert(t, change.Between(older, last).Apply(older, last.Version), qt.DeepEquals, last)
+}
