process/lease: one host a zone gives orders, with a fence

Cause: nothing told which host of a zone may give orders. Ruled out: one writer token a hold (a renewal whose answer was lost then counts from the later offer, and was held beyond the key), and counting from the answer. Change: a key a zone that lapses; held from before the write was sent less a margin, on the monotonic and the wall clock, checked at each use; the fence is the revision that acquired it; a new holder waits for the longest delivery; the zone's relays contend, with calls of their own budget; a planned stop gives the lease back.

--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -54,10 +54,10 @@
 		fx.StartTimeout(startTimeout),
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
-			peer.NewRouter, newMembers, newBudget, newCommandBudget, newClaimer,
+			peer.NewRouter, newMembers, newBudget, newCommandBudget, newLease, newClaimer,
 			newReclaim, newPoller,
 		),
-		fx.Invoke(runControl, runClaims, runPeers, runReclaim, runRouting, runFront),
+		fx.Invoke(runControl, runClaims, runPeers, runLease, runReclaim, runRouting, runFront),
 	)
 }
 
--- a/internal/process/member/members.go
+++ b/internal/process/member/members.go
@@ -92,6 +92,11 @@
 	return m
 }
 
+// Self is this host.
+func (m *Members) Self() Peer {
+	return m.self
+}
+
 // Live lists the members that live, this host among them, sorted by host.
 func (m *Members) Live() []Peer {
 	return m.view.Load().live
