--- a/internal/process/entry/operators.go
+++ b/internal/process/entry/operators.go
@@ -57,7 +57,8 @@
 			}
 			return events
 		},
-		Log: log,
+		Explain: server.Explain,
+		Log:     log,
 	}
 }
 
--- /dev/null
+++ b/internal/process/entry/routing_test.go
@@ -0,0 +1,125 @@
+package entry_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	standinengine "github.com/dandelionlift/dandelionlift/internal/standin/engine"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+// A running host tells where a call went and why, and goes on to a second
+// endpoint when the first is lost.
+func TestExplainOnARunningHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 3, 0, nil)
+		defer d.stop()
+		_, answered := d.complete(1, d.hosts[0], "a prompt", 5)
+		c.Assert(answered.status, qt.Equals, http.StatusOK)
+		table, err := d.hosts[0].server.Explain(t.Context(), identity.Request(answered.request))
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(table.Rows) > 1, qt.IsTrue)
+		c.Assert(table.Rows[0][len(table.Columns)-1], qt.Matches, "chosen.*")
+		c.Assert(strings.HasPrefix(table.Rows[0][2], "model-"), qt.IsTrue)
+		_, err = d.hosts[0].server.Explain(t.Context(), "unknown")
+		c.Assert(err, qt.ErrorMatches, "request unknown is not among .*")
+	})
+}
+
+// A host with one engine gets 400 calls in a second: those taken are answered,
+// the others are refused at once, as NotRun, and can be explained.
+func TestOverloadOfARunningHostRefusesEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 1, 0, nil)
+		defer d.stop()
+		time.Sleep(time.Second)
+		replies := make([]reply, 400)
+		var group errgroup.Group
+		for i := range replies {
+			time.Sleep(2 * time.Millisecond)
+			group.Go(func() error {
+				_, replies[i] = d.complete(1, d.hosts[0], "a prompt", 20)
+				return nil
+			})
+		}
+		c.Assert(group.Wait(), qt.IsNil)
+		taken, refused := 0, 0
+		for _, r := range replies {
+			if r.status == http.StatusOK {
+				taken++
+				continue
+			}
+			refused++
+			c.Assert(r.verdict, qt.Equals, "not_run")
+			c.Assert(r.retryAfter, qt.Not(qt.Equals), "")
+		}
+		t.Logf("taken %d, refused %d", taken, refused)
+		c.Assert(taken > 20, qt.IsTrue)
+		c.Assert(refused > 200, qt.IsTrue)
+	})
+}
+
+// A host hands 30 unfinished answers to a peer whose one engine is full and which
+// refuses calls of its own: none of the 30 is refused there.
+func TestAdmissionDoesNotRefuseWorkHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(2, 1, 0, nil)
+		defer d.stop()
+		time.Sleep(time.Second)
+		replies := make([]reply, 30)
+		var group errgroup.Group
+		for i := range replies {
+			to := d.hosts[i%2]
+			group.Go(func() error {
+				_, replies[i] = d.complete(i+1, to, "a prompt", 60)
+				return nil
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		d.hosts[0].server.HandOver(t.Context())
+		c.Assert(group.Wait(), qt.IsNil)
+		for _, r := range replies {
+			again := d.call(1, d.hosts[1], http.MethodGet, "/v1/requests/"+r.request, "", "")
+			c.Check(completionText(again.body), qt.Equals, standinengine.Text("a prompt", 60), qt.Commentf("%+v", again))
+		}
+	})
+}
+
+// A batch call that still waits for a slot when its host leaves is handed over
+// too, and answered whole.
+func TestAdmissionHandsOverWhatStillWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(2, 1, 0, nil)
+		defer d.stop()
+		time.Sleep(time.Second)
+		var group errgroup.Group
+		for i := range 15 {
+			group.Go(func() error {
+				d.complete(i+1, d.hosts[0], "a prompt", 200)
+				return nil
+			})
+		}
+		time.Sleep(time.Second)
+		var waiting reply
+		group.Go(func() error {
+			waiting = d.call(20, d.hosts[0], http.MethodPost, "/v1/completions", "", `{"model":"model","prompt":"a night","max_tokens":10,"batch":true}`)
+			return nil
+		})
+		time.Sleep(300 * time.Millisecond)
+		d.hosts[0].server.HandOver(t.Context())
+		c.Assert(group.Wait(), qt.IsNil)
+		c.Assert(waiting.reason, qt.Equals, "host_stopping")
+		again := d.call(1, d.hosts[1], http.MethodGet, "/v1/requests/"+waiting.request, "", "")
+		c.Assert(completionText(again.body), qt.Equals, standinengine.Text("a night", 10))
+	})
+}
