--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -57,10 +57,10 @@
 		fx.StartTimeout(startTimeout),
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
-			peer.NewRouter, newMembers, newBudget, newCommandBudget, newClaimer,
+			peer.NewRouter, newMembers, newBudget, newCommandBudget, newLease, newClaimer,
 			newReclaim, newPoller, newGate, newZoneLease, newReplacement, newLoader,
 		),
-		fx.Invoke(runControl, runClaims, runPeers, runReclaim, runReplacement, runRouting, runFront),
+		fx.Invoke(runControl, runClaims, runPeers, runLease, runReclaim, runReplacement, runRouting, runFront),
 	)
 }
 
--- a/internal/process/entry/replacement.go
+++ b/internal/process/entry/replacement.go
@@ -16,6 +16,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/weights"
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
+	"github.com/dandelionlift/dandelionlift/internal/process/lease"
 	"github.com/dandelionlift/dandelionlift/internal/process/loader"
 	"github.com/dandelionlift/dandelionlift/internal/process/reclaim"
 	"github.com/dandelionlift/dandelionlift/internal/process/replacement"
@@ -28,9 +29,8 @@
 // fencing number. Without it nothing is ordered from the cloud.
 type zoneLease func() (identity.Fence, bool)
 
-// newZoneLease is never held: hosts of a zone do not agree on a holder yet.
-func newZoneLease() zoneLease {
-	return func() (identity.Fence, bool) { return 0, false }
+func newZoneLease(l *lease.Lease) zoneLease {
+	return l.Held
 }
 
 func newReplacement(
