controller/leaving: show that a notice takes effect within 3 s

Cause: the time from a notice to no new work was not measured. Ruled out: measuring it in real time.

Change: tests only.

--- a/internal/process/controller/leaving_test.go
+++ b/internal/process/controller/leaving_test.go
@@ -180,3 +180,67 @@
 		})
 	}
 }
+
+// A notice makes its host leave within 3 s wherever in the watcher's rhythm it
+// comes, while the host list hangs and one question after notices does too.
+func TestLeavingWithinSecondsOfNotice(t *testing.T) {
+	for offset := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			c := controller.New("entry", "zone")
+			ctx, cancel := context.WithCancel(t.Context())
+			group := new(errgroup.Group)
+			group.Go(func() error { return c.Run(ctx) })
+			c.Post(ctx, controller.HostsSeen{At: time.Now(), Hosts: listed(0, cloud.Live, oldLife).Hosts})
+			published := time.Now().Add(time.Second + time.Duration(offset)*50*time.Millisecond)
+			hung := false
+			w := controller.Watcher{
+				Controller: c, Log: slog.New(slog.DiscardHandler),
+				HostsEvery: time.Second, NoticesEvery: 500 * time.Millisecond, LoadsEvery: time.Hour,
+				Cloud: cloud.Client{
+					List: func(ctx context.Context) ([]cloud.Host, error) {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					},
+					Notices: func(ctx context.Context, _ uint64) ([]cloud.Notice, error) {
+						if time.Now().Before(published) {
+							return nil, nil
+						}
+						if !hung {
+							hung = true
+							<-ctx.Done()
+							return nil, ctx.Err()
+						}
+						return []cloud.Notice{{Sequence: 1, Host: "h", Incarnation: oldLife}}, nil
+					},
+				},
+				Engine: engine.Client{HTTP: &http.Client{Transport: unreachable{}}},
+			}
+			group.Go(func() error { return w.Run(ctx) })
+			time.Sleep(time.Until(published.Add(3 * time.Second)))
+			synctest.Wait()
+			e, _ := c.Snapshot().Find("h")
+			qt.Check(t, e.Leaving, qt.IsTrue, qt.Commentf("offset %d", offset))
+			cancel()
+			qt.Check(t, group.Wait(), qt.IsNil)
+		})
+	}
+}
+
+// A new host on the address of one that leaves is another host.
+func TestLeavingAddressIsNoIdentity(t *testing.T) {
+	c := qt.New(t)
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	both := controller.HostsSeen{At: start, Hosts: []cloud.Host{
+		{ID: "gone", Incarnation: oldLife, Service: "s", Address: address, State: cloud.Leaving},
+		{ID: "h", Incarnation: newLife, Service: "s", Address: address, State: cloud.Live},
+	}}
+	// Asked at the shared address for the one that is gone, the new host answers.
+	answer := controller.LoadSeen{At: start, Host: "gone", Report: engine.LoadReport{Incarnation: newLife, Running: 3}}
+	events := []controller.Event{both, answer, controller.LeavingSeen{Host: "gone", Incarnation: oldLife}}
+	permutations(events, func(order []controller.Event) {
+		e, ok := apply(t, order...)
+		c.Check(ok, qt.IsTrue)
+		c.Check(e.Leaving, qt.IsFalse)
+		c.Check(e.Incarnation, qt.Equals, newLife)
+	})
+}
