--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -26,6 +27,8 @@
 	service configuration.Service
 	// entries is sorted by price and holds none that leaves or is ejected.
 	entries []entry
+	// hashes are those of entries, side by side for rendezvous.
+	hashes []uint64
 	// active counts the leading entries that get work first, at least 1 unless
 	// entries is empty.
 	active int
@@ -80,6 +83,9 @@
 // Snapshot is what the table was made from.
 func (t *Table) Snapshot() *fleet.Snapshot { return t.snapshot }
 
+// At is when the table was made.
+func (t *Table) At() time.Time { return t.at }
+
 // Serving lists the indexes into the snapshot's Endpoints that can get a
 // service's work, cheapest first.
 func (t *Table) Serving(service identity.Service) []int {
@@ -92,6 +98,46 @@
 	return list
 }
 
+// Capacity tells how many calls the endpoints of a service can run within its
+// target, and what they report to run and to have waiting.
+func (t *Table) Capacity(service identity.Service) (slots, running, waiting int) {
+	g := t.groups[service]
+	if g == nil {
+		return 0, 0, 0
+	}
+	each := slotsEach(g.service)
+	for _, e := range g.entries {
+		load := t.snapshot.Endpoints[e.index].Load
+		running += load.Running
+		waiting += load.Waiting
+		if load.Waiting > 0 && load.Running > 0 {
+			slots += min(each, load.Running)
+			continue
+		}
+		slots += each
+	}
+	return slots, running, waiting
+}
+
+// slotsEach is how many calls one endpoint runs before the time between tokens
+// is over the target while a prompt is read.
+func slotsEach(s configuration.Service) int {
+	if s.Kind == configuration.Plain {
+		return plainSlots
+	}
+	between := millis(time.Duration(s.BetweenTokens))
+	if between == 0 {
+		return unknownSlots
+	}
+	return max(fewestSlots, int((between-tokenMillis-stepTokens/prefillPerMilli)/tokenEachMillis))
+}
+
+const (
+	plainSlots   = 256
+	unknownSlots = 16
+	fewestSlots  = 4
+)
+
 // Active lists the indexes into the snapshot's Endpoints that get a service's
 // work first.
 func (t *Table) Active(service identity.Service) []int {
@@ -117,6 +163,7 @@
 	for i, e := range g.entries {
 		endpoint := &s.Endpoints[e.index]
 		g.byIncarnation[endpoint.Incarnation] = i
+		g.hashes = append(g.hashes, e.hash)
 		if endpoint.Zone == s.Zone {
 			g.near = append(g.near, i)
 		}
@@ -199,22 +246,23 @@
 func (g *group) rendezvous(key uint64) (first, second int) {
 	first, second = -1, -1
 	var high, next uint64
-	for i := range g.entries[:g.active] {
-		rank := mix(key ^ g.entries[i].hash)
-		switch {
-		case first < 0 || rank > high:
+	for i, hash := range g.hashes[:g.active] {
+		rank := mix(key ^ hash)
+		if second >= 0 && rank <= next {
+			continue
+		}
+		if first < 0 || rank > high {
 			second, next = first, high
 			first, high = i, rank
-		case second < 0 || rank > next:
-			second, next = i, rank
+			continue
 		}
+		second, next = i, rank
 	}
 	return first, second
 }
 
-// mix spreads the bits of x, as in the finaliser of SplitMix64.
+// mix spreads the bits of x by a folded product.
 func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	high, low := bits.Mul64(x, 0x9e3779b97f4a7c15)
+	return high ^ low
 }
