--- a/internal/process/entry/replacement.go
+++ b/internal/process/entry/replacement.go
@@ -34,7 +34,7 @@
 }
 
 func newReplacement(
-	s settings.Entry, c *controller.Controller, api cloud.Client, kv keyvalue.Client, j journal.Journal,
+	s settings.Entry, c *controller.Controller, api cloud.Client, kv keyvalue.Client, j *journal.Journal,
 	lease zoneLease, leaving *reclaim.Reclaim, log *slog.Logger,
 ) *replacement.Replacement {
 	return &replacement.Replacement{
@@ -68,7 +68,7 @@
 
 // moveDone takes a move out of the configuration. The command's id is made of
 // the move's, so that a repeat is harmless.
-func moveDone(ctx context.Context, j journal.Journal, number identity.Version) error {
+func moveDone(ctx context.Context, j *journal.Journal, number identity.Version) error {
 	_, err := j.Propose(ctx, journal.Proposal{
 		Command:  identity.Command(fmt.Sprintf("move-%d-done", number)),
 		Operator: "system",
--- a/internal/process/operator/fuzz_test.go
+++ b/internal/process/operator/fuzz_test.go
@@ -28,7 +28,7 @@
 	}
 	f.Fuzz(func(t *testing.T, line string) {
 		kv := memory()
-		quicktest.Assert(t, journal.Journal{KeyValue: kv}.Bootstrap(context.Background(), start), quicktest.IsNil)
+		quicktest.Assert(t, journal.New(kv).Bootstrap(context.Background(), start), quicktest.IsNil)
 		h := newHost(kv)
 		answer := h.ask("c1", "amal", line)
 		if match := columnPattern.FindStringSubmatch(answer.Error); match != nil {
