--- a/internal/process/operator/field.go
+++ b/internal/process/operator/field.go
@@ -115,5 +115,5 @@
 }
 
 func number(value float64) string {
-	return strconv.FormatFloat(value, 'g', -1, 64)
+	return strconv.FormatFloat(value, 'f', -1, 64)
 }
