entry/bench: count the tokens of each stream

Cause: after admission came in, the single endpoint of the bench had too few slots; most streams were refused, and the bench reported -17 us a token without a word.

Change: each stream must carry all its tokens; 400 endpoints lead to the one stand-in.

Seen to fail before: target_out_of_reach with one endpoint.

--- a/internal/process/entry/entry_bench_test.go
+++ b/internal/process/entry/entry_bench_test.go
@@ -33,6 +33,8 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
+const benchEndpoints = 400
+
 // bench is one entry host before one endpoint, on loopback.
 type bench struct {
 	group    errgroup.Group
@@ -49,7 +51,13 @@
 	b.cancel = cancel
 	b.endpoint = b.serve(c, handler)
 	d := new(deployment)
-	d.publish([]fleet.Endpoint{{Host: "e", Incarnation: "i", Address: b.endpoint, Service: "model", Zone: "zone"}})
+	var endpoints []fleet.Endpoint
+	for i := range benchEndpoints {
+		// Each has room for some requests; all lead to the one stand-in.
+		host := identity.Host(fmt.Sprintf("e-%03d", i))
+		endpoints = append(endpoints, fleet.Endpoint{Host: host, Incarnation: "i", Address: b.endpoint, Service: "model", Zone: "zone"})
+	}
+	d.publish(endpoints)
 	given := settings.DefaultEntry()
 	given.Limits.Requests = 1 << 20
 	given.Limits.AnswerKept = 0
@@ -106,8 +114,8 @@
 
 // stream makes one streamed call and gives the time to the first event.
 func (b *bench) stream(c *qt.C, to netip.AddrPort, tokens int) (first time.Duration) {
-	body := fmt.Sprintf(`{"model":"model","prompt":"p","max_tokens":%d,"stream":true}`, tokens)
-	request, err := http.NewRequest(http.MethodPost, "http://"+to.String()+"/v1/completions", bytes.NewReader([]byte(body)))
+	ask := fmt.Sprintf(`{"model":"model","prompt":"p","max_tokens":%d,"stream":true}`, tokens)
+	request, err := http.NewRequest(http.MethodPost, "http://"+to.String()+"/v1/completions", bytes.NewReader([]byte(ask)))
 	c.Assert(err, qt.IsNil)
 	request.Header.Set("Authorization", "Bearer "+callerKey)
 	request.Header.Set(engine.RequestHeader, "direct")
@@ -119,8 +127,9 @@
 	_, err = reader.Peek(1)
 	c.Assert(err, qt.IsNil)
 	first = time.Since(began)
-	_, err = io.Copy(io.Discard, reader)
+	body, err := io.ReadAll(reader)
 	c.Assert(err, qt.IsNil)
+	c.Assert(bytes.Count(body, []byte("token ")) == tokens, qt.IsTrue, qt.Commentf("%.300s", body))
 	return first
 }
 
