--- a/internal/process/entry/resume_test.go
+++ b/internal/process/entry/resume_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -209,3 +210,50 @@
 		c.Assert(attempts.Load() <= calls+50+10, qt.IsTrue, qt.Commentf("%d attempts", attempts.Load()))
 	})
 }
+
+// TestResumeBeatsMeanwhile has the only engine away for a while: the caller's
+// stream must show life, and then go on.
+func TestResumeBeatsMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 1, 0, nil)
+		defer d.stop()
+		time.AfterFunc(2*time.Second, func() {
+			address := d.snapshot.Load().Endpoints[0].Address.Addr()
+			d.network.SetRule(func(from, to netip.Addr) network.Path { return network.Path{Lost: from == address || to == address} })
+			time.AfterFunc(20*time.Second, func() { d.network.SetRule(nil) })
+		})
+		got := d.call(1, d.hosts[0], http.MethodPost, "/v1/completions", "", `{"model":"model","prompt":"p","max_tokens":200,"stream":true}`)
+		c.Assert(strings.Count(got.body, ": waiting") >= 3, qt.IsTrue)
+		c.Assert(strings.HasSuffix(got.body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", got.body[max(0, len(got.body)-300):]))
+	})
+}
+
+// TestResumeOfLookups makes lookups while one ledger is silent on every
+// connection, and while all are slow: both must be answered.
+func TestResumeOfLookups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDeployment(1, 0, 2, nil)
+		defer d.stop()
+		const path = "/v1/services/ledger/filings/f"
+		for range 20 {
+			c.Assert(d.call(1, d.hosts[0], http.MethodGet, path, "", "").status, qt.Equals, http.StatusOK)
+		}
+		address := d.snapshot.Load().Endpoints[0].Address.Addr()
+		d.network.SetRule(func(from, _ netip.Addr) network.Path { return network.Path{Lost: from == address} })
+		for range 20 {
+			began := time.Now()
+			c.Assert(d.call(1, d.hosts[0], http.MethodGet, path, "", "").status, qt.Equals, http.StatusOK)
+			c.Assert(time.Since(began) < 6*time.Second, qt.IsTrue)
+		}
+		d.network.SetRule(nil)
+		d.front = func(_ http.ResponseWriter, r *http.Request) bool {
+			if r.URL.Path != engine.LoadPath {
+				time.Sleep(5 * time.Second)
+			}
+			return false
+		}
+		c.Assert(d.call(1, d.hosts[0], http.MethodGet, path, "", "").status, qt.Equals, http.StatusOK)
+	})
+}
