entry/replacement: give replacement, moves and loads the zone's lease

Cause: they were wired behind a lease that was never held; process/lease is there now. Change: newReplacement and newLoader take its Held; newZoneLease goes; each step is logged; an operator's move is accepted, as its zone's holder now follows it.

A live move was not tried.

--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -58,7 +58,7 @@
 		fx.Provide(
 			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
 			peer.NewRouter, newMembers, newBudget, newCommandBudget, newLease, newClaimer,
-			newReclaim, newPoller, newZoneLease, newReplacement, newLoader, newGate,
+			newReclaim, newPoller, newReplacement, newLoader, newGate,
 		),
 		fx.Invoke(
 			runControl, runClaims, runPeers, runLease, runReclaim, runReplacement, runRouting, runFront,
--- a/internal/process/entry/operators.go
+++ b/internal/process/entry/operators.go
@@ -50,6 +50,8 @@
 			}
 			return hosts
 		},
+		// The configuration holds the move; the lease holder of its zone follows it.
+		Move: func(context.Context, configuration.Move) error { return nil },
 		CostOfMove: func(ctx context.Context, move configuration.Move) (operator.Table, error) {
 			return costTable(leaving.CostOfMove(ctx, move)), nil
 		},
--- a/internal/process/entry/replacement.go
+++ b/internal/process/entry/replacement.go
@@ -16,6 +16,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/weights"
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
+	"github.com/dandelionlift/dandelionlift/internal/process/lease"
 	"github.com/dandelionlift/dandelionlift/internal/process/loader"
 	"github.com/dandelionlift/dandelionlift/internal/process/reclaim"
 	"github.com/dandelionlift/dandelionlift/internal/process/replacement"
@@ -24,21 +25,12 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-// zoneLease tells whether this host holds its zone's lease, and under which
-// fencing number. Without it nothing is ordered from the cloud.
-type zoneLease func() (identity.Fence, bool)
-
-// newZoneLease is never held: hosts of a zone do not agree on a holder yet.
-func newZoneLease() zoneLease {
-	return func() (identity.Fence, bool) { return 0, false }
-}
-
 func newReplacement(
 	s settings.Entry, c *controller.Controller, api cloud.Client, kv keyvalue.Client, j *journal.Journal,
-	lease zoneLease, leaving *reclaim.Reclaim, log *slog.Logger,
+	zone *lease.Lease, leaving *reclaim.Reclaim, log *slog.Logger,
 ) *replacement.Replacement {
 	return &replacement.Replacement{
-		Zone: s.Zone, Snapshot: c.Snapshot, Cloud: api, KeyValue: kv, Lease: lease, Log: log, Random: newRandom(),
+		Zone: s.Zone, Snapshot: c.Snapshot, Cloud: api, KeyValue: kv, Lease: zone.Held, Log: log, Random: newRandom(),
 		Leave: func(ctx context.Context, host identity.Host, incarnation identity.Incarnation) {
 			c.Post(ctx, controller.LeavingSeen{Host: host, Incarnation: incarnation})
 		},
@@ -48,6 +40,8 @@
 			}
 		},
 		Tell: func(what replacement.What, n replacement.Need) {
+			log.Info(string(what), "for", n.For, "attempt", n.Attempt, "endpoint", n.Host, "zone", n.Option.Zone,
+				"class", n.Option.Class, "reclaimable", n.Option.Reclaimable, "move", n.Move)
 			leaving.Record.Add(reclaim.Event{
 				At: time.Now(), Host: leaver(c, n), Incarnation: n.For, What: reclaim.What(what), Target: n.Host,
 				Count: n.Attempt, Paid: n.Option.Price, Note: string(n.Option.Zone) + " " + string(n.Option.Class),
@@ -81,11 +75,11 @@
 }
 
 func newLoader(
-	s settings.Entry, c *controller.Controller, e engine.Client, lease zoneLease, log *slog.Logger,
+	s settings.Entry, c *controller.Controller, e engine.Client, zone *lease.Lease, log *slog.Logger,
 ) *loader.Loader {
 	store := &http.Client{Transport: platformTransport(), Timeout: storeTimeout}
 	return &loader.Loader{
-		Zone: s.Zone, Snapshot: c.Snapshot, Lease: lease, Weights: weights.HTTP(s.Platform.Weights, store),
+		Zone: s.Zone, Snapshot: c.Snapshot, Lease: zone.Held, Weights: weights.HTTP(s.Platform.Weights, store),
 		Engine: e, Random: newRandom(), Log: log,
 	}
 }
