admission/test: set the fake's cut-off under its lock

Cause: a test wrote a field that the gate's clock reads; the race detector saw it in one of four runs, so the test was flaky since zone_cut_off came. Ruled out: a fault of the gate, which holds its own lock. Change: a setter with the lock.

--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -101,6 +101,12 @@
 	b.promote()
 }
 
+func (b *bench) setCutOff(to bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cutOff = to
+}
+
 // call makes one call and tells whether it was good and how long it waited.
 func (b *bench) call(ctx context.Context, ask admission.Ask, hold time.Duration) (*verdict.Error, time.Duration) {
 	arrived := time.Now()
@@ -386,11 +392,11 @@
 			c.Check(failure.Reason, qt.Equals, verdict.TargetOutOfReach)
 			c.Check(failure.RetryAfter > 0, qt.IsTrue)
 			c.Check(waited, qt.Equals, time.Duration(0))
-			b.cutOff = true
+			b.setCutOff(true)
 			failure, _ = b.call(ctx, admission.Ask{Service: "s", Organisation: "a"}, 0)
 			c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
 			c.Check(failure.Reason, qt.Equals, verdict.ZoneCutOff)
-			b.cutOff = false
+			b.setCutOff(false)
 			failure, waited = b.call(ctx, admission.Ask{Service: "s", Organisation: "a", Batch: true}, 0)
 			c.Check(failure.Reason, qt.Equals, verdict.QueueTimeout)
 			c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
