entry/routing: tell and hear organisations' demand by the heartbeats

Cause: shares of limits were equal, whoever the callers came to. Ruled out: telling a demand no more when it ends, since peers keep the last one. Change: heartbeats carry the gate's demand, ended demand as zero ten times; the gate hears the other live hosts of its zone, and nothing new when it hears none. Proof: TestAdmissionTellsThatDemandEnded seen to fail when told no more at once; TestAdmissionHearsItsOwnZone is new. Conclusion: the seam with the heartbeats is closed.

--- a/internal/process/admission/limits.go
+++ b/internal/process/admission/limits.go
@@ -52,6 +52,8 @@
 type rate struct {
 	sum float64
 	at  time.Time
+	// ended counts how often it was told that the demand is zero.
+	ended int
 }
 
 // bucket is one organisation's tokens on this host; it may be in debt.
@@ -63,6 +65,9 @@
 const (
 	rateWindow = 2 * time.Second
 	tellEvery  = time.Second
+	// tellsOfEnd is how often a demand that ended is told as zero, so that no
+	// host goes on with the last one it heard.
+	tellsOfEnd = 10
 	// burst is the time for which unused tokens are kept.
 	burst = time.Second
 	// unknownShares is how many equal shares of a service's slots a host
@@ -111,11 +116,16 @@
 	l.next = now.Add(tellEvery)
 	clear(l.told)
 	for k, r := range l.wants {
-		if n := r.perSecond(now); n > 0 {
-			l.told[k] = n
+		n := r.perSecond(now)
+		l.told[k] = n
+		if n > 0 {
+			r.ended = 0
 			continue
 		}
-		delete(l.wants, k)
+		if r.ended++; r.ended > tellsOfEnd {
+			delete(l.told, k)
+			delete(l.wants, k)
+		}
 	}
 }
 
@@ -126,7 +136,7 @@
 	}
 	equal := 1 / float64(l.hosts)
 	own, others := float64(l.mine[k]), float64(l.peers[k])
-	if own+others == 0 && k.organisation == "" {
+	if others == 0 && k.organisation == "" {
 		return min(1, unknownShares*equal)
 	}
 	if own+others == 0 {
--- a/internal/process/admission/limits_test.go
+++ b/internal/process/admission/limits_test.go
@@ -155,6 +155,23 @@
 	})
 }
 
+// Demand that has ended is told as zero for a while, and then no more.
+func TestAdmissionTellsThatDemandEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(10)
+		play(t, b, func(ctx context.Context, _ *errgroup.Group) {
+			_, _ = b.call(ctx, admission.Ask{Service: "s", Organisation: "o", Tokens: 1000}, 0)
+			time.Sleep(2 * time.Second)
+			qt.Check(t, b.gate.Demand(), qt.HasLen, 2)
+			qt.Check(t, b.gate.Demand()[0].TokensPerSecond > 0, qt.IsTrue)
+			time.Sleep(18 * time.Second)
+			qt.Check(t, b.gate.Demand(), qt.DeepEquals, []admission.Demand{{Organisation: "o"}, {Service: "s"}})
+			time.Sleep(20 * time.Second)
+			qt.Check(t, b.gate.Demand(), qt.HasLen, 0)
+		})
+	})
+}
+
 // A call larger than what a host's bucket ever holds is admitted, and paid for
 // by waiting.
 func TestAdmissionLimitTakesLargeCalls(t *testing.T) {
--- a/internal/process/entry/caches.go
+++ b/internal/process/entry/caches.go
@@ -79,17 +79,50 @@
 // runRouting keeps what routing knows beside the snapshot.
 func runRouting(lc fx.Lifecycle, l life, s *Server, p *prefix.Poller, c *controller.Controller, members *member.Members) {
 	s.router.hosts = func() int { return len(members.Live()) }
+	members.Demand = func() []member.Demand { return told(s.router.gate.Demand()) }
 	lc.Append(fx.Hook{OnStart: func(context.Context) error {
 		l.group.Go(func() error { return p.Run(l.ctx) })
 		l.group.Go(func() error { return s.router.gate.Run(l.ctx) })
-		l.group.Go(func() error { return s.router.tend(l.ctx, c) })
+		l.group.Go(func() error { return s.router.tend(l.ctx, c, members) })
 		return nil
 	}})
 }
 
+// told is what heartbeats carry of a host's demand: that of organisations.
+func told(demands []admission.Demand) []member.Demand {
+	var list []member.Demand
+	for _, d := range demands {
+		if d.Organisation != "" {
+			list = append(list, member.Demand{Organisation: d.Organisation, TokensPerSecond: uint64(d.TokensPerSecond)})
+		}
+	}
+	return list
+}
+
+// Heard is the demand of the other live hosts of self's zone, whose heartbeats
+// carry it; a host that told none wants nothing.
+func Heard(self member.Peer, live []member.Peer, demands []member.Demand) []admission.PeerDemand {
+	var peers []admission.PeerDemand
+	for _, p := range live {
+		if p.Zone != self.Zone || p.Host == self.Host {
+			continue
+		}
+		heard := admission.PeerDemand{Host: p.Host}
+		for _, d := range demands {
+			if d.Host == p.Host {
+				heard.Demands = append(heard.Demands, admission.Demand{
+					Organisation: d.Organisation, TokensPerSecond: unit.Tokens(d.TokensPerSecond),
+				})
+			}
+		}
+		peers = append(peers, heard)
+	}
+	return peers
+}
+
 // tend follows the number of entry hosts by the host list, which a host that is
 // cut off keeps, and forgets endpoints long gone, until ctx ends.
-func (r *router) tend(ctx context.Context, c *controller.Controller) error {
+func (r *router) tend(ctx context.Context, c *controller.Controller, members *member.Members) error {
 	ticker := time.NewTicker(hostsEvery)
 	defer ticker.Stop()
 	forgotten := time.Now()
@@ -97,6 +130,9 @@
 		select {
 		case now := <-ticker.C:
 			r.gate.SetHosts(len(c.EntryHosts()))
+			if peers := Heard(members.Self(), members.Live(), members.Demands()); len(peers) > 0 {
+				r.gate.SetPeers(peers)
+			}
 			if now.Sub(forgotten) > forgetEvery {
 				r.book.Forget(now)
 				forgotten = now
--- a/internal/process/entry/routing_test.go
+++ b/internal/process/entry/routing_test.go
@@ -10,6 +10,9 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dandelionlift/dandelionlift/internal/process/admission"
+	"github.com/dandelionlift/dandelionlift/internal/process/entry"
+	"github.com/dandelionlift/dandelionlift/internal/process/member"
 	standinengine "github.com/dandelionlift/dandelionlift/internal/standin/engine"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
@@ -123,3 +126,16 @@
 		c.Assert(completionText(again.body), qt.Equals, standinengine.Text("a night", 10))
 	})
 }
+
+// Of the live hosts those of the own zone count as heard, with or without demand.
+func TestAdmissionHearsItsOwnZone(t *testing.T) {
+	self := member.Peer{Host: "a1", Zone: "a"}
+	live := []member.Peer{self, {Host: "a2", Zone: "a"}, {Host: "a3", Zone: "a"}, {Host: "b1", Zone: "b"}}
+	demands := []member.Demand{
+		{Host: "a1", Organisation: "o", TokensPerSecond: 1}, {Host: "a2", Organisation: "o", TokensPerSecond: 2},
+		{Host: "b1", Organisation: "o", TokensPerSecond: 4},
+	}
+	qt.Assert(t, entry.Heard(self, live, demands), qt.DeepEquals, []admission.PeerDemand{
+		{Host: "a2", Demands: []admission.Demand{{Organisation: "o", TokensPerSecond: 2}}}, {Host: "a3"},
+	})
+}
