--- /dev/null
+++ b/internal/process/controller/control_bench_test.go
@@ -0,0 +1,88 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/process/controller"
+	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+func manyHosts(n int) []cloud.Host {
+	hosts := make([]cloud.Host, n)
+	for i := range hosts {
+		hosts[i] = cloud.Host{
+			ID: identity.Host(fmt.Sprintf("engine-%05d", i)), Incarnation: identity.Incarnation(fmt.Sprint("i", i)),
+			Service: identity.Service(fmt.Sprint("s", i%20)), Zone: identity.Zone(fmt.Sprint("z", i%16)), State: cloud.Live,
+		}
+	}
+	return hosts
+}
+
+var group errgroup.Group
+
+// await gives the snapshot that has a version.
+func await(c *controller.Controller, version identity.Version) {
+	for c.Snapshot().Configuration.Version < version {
+		time.Sleep(10 * time.Microsecond)
+	}
+}
+
+// BenchmarkControlEvents tells what one change of the state costs, by endpoints:
+// ns/op is the time until a snapshot with it is there.
+func BenchmarkControlEvents(b *testing.B) {
+	for _, n := range []int{750, 3000, 12_000} {
+		hosts := manyHosts(n)
+		b.Run(fmt.Sprintf("change/endpoints=%d", n), func(b *testing.B) {
+			c, post := running(b, hosts)
+			for i := range b.N {
+				version := identity.Version(i + 2)
+				post(controller.ConfigurationSeen{Configuration: configuration.Configuration{Version: version}})
+				await(c, version)
+			}
+		})
+		b.Run(fmt.Sprintf("host_list/endpoints=%d", n), func(b *testing.B) {
+			c, post := running(b, hosts)
+			for i := range b.N {
+				version := identity.Version(i + 2)
+				post(controller.HostsSeen{At: time.Now(), Hosts: hosts})
+				post(controller.ConfigurationSeen{Configuration: configuration.Configuration{Version: version}})
+				await(c, version)
+			}
+		})
+		b.Run(fmt.Sprintf("load/endpoints=%d", n), func(b *testing.B) {
+			c, post := running(b, hosts)
+			for i := range b.N {
+				h := hosts[i%n]
+				post(controller.LoadSeen{At: time.Now(), Host: h.ID, Report: engine.LoadReport{Incarnation: h.Incarnation, Running: i}})
+			}
+			post(controller.ConfigurationSeen{Configuration: configuration.Configuration{Version: 2}})
+			await(c, 2)
+		})
+	}
+}
+
+// running starts a controller that knows hosts.
+func running(b *testing.B, hosts []cloud.Host) (*controller.Controller, func(controller.Event)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := controller.New("entry", "z0")
+	done := make(chan error, 1)
+	group.Go(func() error { done <- c.Run(ctx); return nil })
+	b.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	post := func(e controller.Event) { c.Post(ctx, e) }
+	post(controller.HostsSeen{At: time.Now(), Hosts: hosts})
+	post(controller.ConfigurationSeen{Configuration: configuration.Configuration{Version: 1}})
+	await(c, 1)
+	b.ResetTimer()
+	return c, post
+}
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -25,7 +25,11 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-const queuedEvents = 1024
+const (
+	queuedEvents = 1024
+	// loadsApart is the least time between snapshots that only load differs in.
+	loadsApart = 250 * time.Millisecond
+)
 
 // Event is something seen that may change the state.
 type Event interface {
@@ -65,6 +69,8 @@
 	configuration configuration.Configuration
 	endpoints     map[identity.Host]fleet.Endpoint
 	entryHosts    map[identity.Host]cloud.Host
+	// order is the sorted keys of endpoints, and nil after these changed.
+	order []identity.Host
 	// listedAt is when the newest host list that was applied was seen.
 	listedAt time.Time
 	leaving  leaving
@@ -106,26 +112,38 @@
 
 // Run applies events until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
+	var published time.Time
+	late := time.NewTimer(loadsApart)
+	defer late.Stop()
 	for {
 		select {
 		case e := <-c.events:
-			e.apply(&c.state)
-			c.drain()
-			c.publish()
+			urgent := c.drain(e)
+			if wait := loadsApart - time.Since(published); !urgent && wait > 0 {
+				late.Reset(wait)
+				continue
+			}
+		case <-late.C:
 		case <-ctx.Done():
 			return nil
 		}
+		c.publish()
+		published = time.Now()
+		late.Stop()
 	}
 }
 
-// drain applies what is queued, so that a burst costs one snapshot.
-func (c *Controller) drain() {
+// drain applies an event and what is queued, so that a burst costs one snapshot.
+// It tells whether any of them was more than a report of load.
+func (c *Controller) drain(e Event) (urgent bool) {
 	for {
+		e.apply(&c.state)
+		load, ok := e.(LoadSeen)
+		urgent = urgent || !ok || load.Report.Leaving
 		select {
-		case e := <-c.events:
-			e.apply(&c.state)
+		case e = <-c.events:
 		default:
-			return
+			return urgent
 		}
 	}
 }
@@ -133,7 +151,10 @@
 func (c *Controller) publish() {
 	s := &c.state
 	endpoints := make([]fleet.Endpoint, 0, len(s.endpoints))
-	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+	if len(s.order) != len(s.endpoints) {
+		s.order = slices.Sorted(maps.Keys(s.endpoints))
+	}
+	for _, id := range s.order {
 		endpoints = append(endpoints, s.endpoints[id])
 	}
 	hosts := make([]cloud.Host, 0, len(s.entryHosts))
@@ -158,7 +179,11 @@
 		}
 		s.see(e.At, h)
 	}
+	before := len(s.endpoints)
 	maps.DeleteFunc(s.endpoints, func(id identity.Host, _ fleet.Endpoint) bool { return !listed[id] })
+	if len(s.endpoints) != before {
+		s.order = nil
+	}
 	maps.DeleteFunc(s.entryHosts, func(id identity.Host, _ cloud.Host) bool { return !listed[id] })
 	s.leaving.age(e.At, s.endpoints)
 }
@@ -166,6 +191,9 @@
 // see takes one endpoint of the host list into the state.
 func (s *state) see(at time.Time, h cloud.Host) {
 	known, ok := s.endpoints[h.ID]
+	if !ok {
+		s.order = nil
+	}
 	if !ok || known.Incarnation != h.Incarnation {
 		known = fleet.Endpoint{Host: h.ID, Incarnation: h.Incarnation, Since: at}
 	}
--- a/internal/version/change/change.go
+++ b/internal/version/change/change.go
@@ -28,6 +28,8 @@
 	Organisations *List[configuration.Organisation, identity.Organisation] `json:"organisations,omitempty"`
 	Prices        *List[configuration.Price, PriceKey]                     `json:"prices,omitempty"`
 	Links         *List[configuration.Link, LinkKey]                       `json:"links,omitempty"`
+	// Orders replaces the operators' orders.
+	Orders *Orders `json:"orders,omitempty"`
 	// Whole replaces everything, in place of the lists.
 	Whole *configuration.Configuration `json:"whole,omitempty"`
 }
@@ -38,6 +40,12 @@
 	Drop []K `json:"drop,omitempty"`
 }
 
+// Orders are the moves and stops in force.
+type Orders struct {
+	Moves []configuration.Move `json:"moves,omitempty"`
+	Stops []configuration.Stop `json:"stops,omitempty"`
+}
+
 // PriceKey names a price.
 type PriceKey struct {
 	Zone  identity.Zone  `json:"zone"`
@@ -73,6 +81,9 @@
 		Prices:        listBetween(older.Prices, newer.Prices, priceKey),
 		Links:         listBetween(older.Links, newer.Links, linkKey),
 	}
+	if !reflect.DeepEqual(older.Moves, newer.Moves) || !reflect.DeepEqual(older.Stops, newer.Stops) {
+		c.Orders = &Orders{Moves: newer.Moves, Stops: newer.Stops}
+	}
 	if !reflect.DeepEqual(c.Apply(older, newer.Version), newer) {
 		newer.Version = 0
 		return Change{Whole: &newer}
@@ -94,6 +105,9 @@
 	next.Organisations = c.Organisations.apply(older.Organisations, organisationKey, cmp.Compare)
 	next.Prices = c.Prices.apply(older.Prices, priceKey, comparePrices)
 	next.Links = c.Links.apply(older.Links, linkKey, compareLinks)
+	if c.Orders != nil {
+		next.Moves, next.Stops = c.Orders.Moves, c.Orders.Stops
+	}
 	return next
 }
 
@@ -103,6 +117,7 @@
 	c = c.Clone()
 	c.Zones, c.Services = orNil(c.Zones), orNil(c.Services)
 	c.Organisations, c.Prices, c.Links = orNil(c.Organisations), orNil(c.Prices), orNil(c.Links)
+	c.Moves, c.Stops = orNil(c.Moves), orNil(c.Stops)
 	sortBy(c.Zones, zoneKey, cmp.Compare)
 	sortBy(c.Services, serviceKey, cmp.Compare)
 	sortBy(c.Organisations, organisationKey, cmp.Compare)
--- a/internal/version/change/change_test.go
+++ b/internal/version/change/change_test.go
@@ -34,6 +34,9 @@
 			c.Links = append(c.Links, configuration.Link{From: "r", To: identity.Region(fmt.Sprint("r", i)), PerGigabyte: unit.Money(r.IntN(2))})
 		}
 	}
+	for i := range r.IntN(3) {
+		c.Stops = append(c.Stops, configuration.Stop{Host: identity.Host(fmt.Sprint("h", i))})
+	}
 	return c
 }
 
