process/member: measure and bound what heartbeats cost

Cause: nothing said what heartbeats cost at the target size. Change: demand is told every 3 s and if it changed by more than a tenth; TestMemberCost and TestMemberCostOfOrganisations measure bytes on the network, CPU of the process and the time of a version from the relays to all, in virtual time.

--- a/internal/process/controller/control_bench_test.go
+++ b/internal/process/controller/control_bench_test.go
@@ -77,7 +77,9 @@
 	group.Go(func() error { done <- c.Run(ctx); return nil })
 	b.Cleanup(func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			b.Error(err)
+		}
 	})
 	post := func(e controller.Event) { c.Post(ctx, e) }
 	post(controller.HostsSeen{At: time.Now(), Hosts: hosts})
--- a/internal/process/member/members.go
+++ b/internal/process/member/members.go
@@ -28,6 +28,7 @@
 	zoneSuspectAfter = 8 * time.Second
 	zoneRemoveAfter  = 30 * time.Second
 	summaryEvery     = 2 * time.Second
+	demandEvery      = 3 * time.Second
 	forgetAfter      = 15 * time.Minute
 	queuedTasks      = 64
 )
@@ -54,10 +55,11 @@
 	state state
 	view  atomic.Pointer[view]
 
-	// beatAt and summaryAt are when the last ones began, and told is the
+	// beatAt, summaryAt and demandAt are when the last ones began, and told is the
 	// version that they carried. Run alone touches them.
 	beatAt    time.Time
 	summaryAt time.Time
+	demandAt  time.Time
 	told      identity.Version
 }
 
@@ -176,7 +178,7 @@
 	if due || s.urgent || version != m.told {
 		m.beatAt, m.told, s.urgent = now, version, false
 		s.beaten(now, version)
-		m.takeDemand()
+		m.takeDemand(now)
 		m.beat(ctx, group, now)
 	}
 	if now.Sub(m.summaryAt) >= summaryEvery && s.speaks(now) {
@@ -189,12 +191,16 @@
 	m.publish(now)
 }
 
-// takeDemand notes what changed in this host's own demand.
-func (m *Members) takeDemand() {
+// takeDemand notes what changed by more than a tenth in this host's own demand.
+func (m *Members) takeDemand(now time.Time) {
+	if now.Sub(m.demandAt) < demandEvery {
+		return
+	}
+	m.demandAt = now
 	s := &m.state
 	for _, d := range m.Demand() {
 		key := demandKey{host: m.self.Host, organisation: d.Organisation}
-		if known, ok := s.demands[key]; !ok || known.tokens != d.TokensPerSecond {
+		if known, ok := s.demands[key]; !ok || known.differs(d.TokensPerSecond) {
 			s.demands[key] = &demand{tokens: d.TokensPerSecond, changed: s.change("")}
 		}
 	}
--- a/internal/process/member/members_test.go
+++ b/internal/process/member/members_test.go
@@ -39,6 +39,10 @@
 	learned map[identity.Incarnation]time.Time
 	version atomic.Uint64
 	demand  atomic.Uint64
+	// organisations is for how many the demand changes all the time.
+	organisations atomic.Int64
+	// stuck hosts do not take in a later version.
+	stuck atomic.Bool
 }
 
 func newFleet(zones, each int) *fleet {
@@ -66,7 +70,15 @@
 	h := &host{peer: p, members: member.New(p), cancel: cancel, group: new(errgroup.Group), learned: make(map[identity.Incarnation]time.Time)}
 	h.members.Departed = func(d member.Departure) { h.learned[d.Incarnation] = time.Now() }
 	h.members.Version = func() (identity.Version, uint64) { return identity.Version(h.version.Load()), 0 }
+	h.members.Ahead = func(_ netip.AddrPort, version identity.Version) {
+		if !h.stuck.Load() {
+			h.version.Store(max(h.version.Load(), uint64(version)))
+		}
+	}
 	h.members.Demand = func() []member.Demand {
+		if n := h.organisations.Load(); n > 0 {
+			return restless(n)
+		}
 		if tokens := h.demand.Load(); tokens > 0 {
 			return []member.Demand{{Organisation: "o", TokensPerSecond: tokens}}
 		}
@@ -264,6 +276,7 @@
 		for _, h := range f.hosts {
 			h.version.Store(7)
 		}
+		f.hosts[5].stuck.Store(true)
 		f.hosts[5].version.Store(6)
 		f.hosts[1].demand.Store(500)
 		after(8 * time.Second)
--- a/internal/process/member/record.go
+++ b/internal/process/member/record.go
@@ -90,6 +90,15 @@
 	changed changed
 }
 
+// differs tells whether a new figure is worth telling.
+func (d *demand) differs(tokens uint64) bool {
+	lower, higher := min(d.tokens, tokens), max(d.tokens, tokens)
+	return higher-lower > higher/worthTelling
+}
+
+// worthTelling is the part of a figure by which it must change to be told.
+const worthTelling = 10
+
 func parseMember(m *peer.Member) (Peer, bool) {
 	address, err := netip.ParseAddrPort(m.GetAddress())
 	p := Peer{
