process/meter: count control's bytes where connections are made

And each entry host asked every endpoint for its load each second, 12,000 calls a second at the target. Ruled out: counting message sizes in each package (headers are most of a small message). Change: connections to the cloud, the key-value service, the weight store, peers and for loads are dialled through the meter, by kind. Up to 32 endpoints are asked for their load each second; of more, 8 a second in turn. Seen to fail: with the bound out of reach TestControlAsksEachEndpointAtABoundedRate saw 14400 questions a minute at 240 endpoints against 8 a second.

--- a/internal/process/controller/watch.go
+++ b/internal/process/controller/watch.go
@@ -28,6 +28,8 @@
 const (
 	askTimeout    = 2 * time.Second
 	loadsAtOnce   = 16
+	askedAtOnce   = 32
+	askedInTurn   = 8
 	firstSequence = 0
 )
 
@@ -36,7 +38,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return every(ctx, w.HostsEvery, w.hosts) })
 	group.Go(func() error { return w.notices(ctx) })
-	group.Go(func() error { return every(ctx, w.LoadsEvery, w.loads) })
+	group.Go(func() error {
+		turn := 0
+		return every(ctx, w.LoadsEvery, func(ctx context.Context) { turn = w.loads(ctx, turn) })
+	})
 	return group.Wait()
 }
 
@@ -96,12 +101,21 @@
 	}
 }
 
-func (w Watcher) loads(ctx context.Context) {
+// loads asks endpoints for their load, from the turn-th on, and gives the next
+// turn. Up to askedAtOnce are all asked each time; of more, askedInTurn, so that
+// asking costs the same however many there are.
+func (w Watcher) loads(ctx context.Context, turn int) int {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var group errgroup.Group
 	group.SetLimit(loadsAtOnce)
-	for _, e := range w.Controller.Snapshot().Endpoints {
+	endpoints := w.Controller.Snapshot().Endpoints
+	asked := len(endpoints)
+	if asked > askedAtOnce {
+		asked = askedInTurn
+	}
+	for i := range asked {
+		e := endpoints[(turn+i)%len(endpoints)]
 		group.Go(func() error {
 			report, err := w.Engine.Load(ctx, e.Address)
 			if err != nil {
@@ -114,4 +128,5 @@
 	if err := group.Wait(); err != nil {
 		w.Log.Warn("loads_unavailable", "error", err)
 	}
+	return turn + asked
 }
--- /dev/null
+++ b/internal/process/controller/watch_test.go
@@ -0,0 +1,81 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
+	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/process/controller"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+// asked counts the questions to each address and answers none.
+type asked struct {
+	mu    sync.Mutex
+	times map[string]int
+}
+
+func (a *asked) RoundTrip(r *http.Request) (*http.Response, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times[r.URL.Host]++
+	return &http.Response{StatusCode: http.StatusTeapot, Body: io.NopCloser(strings.NewReader("")), Request: r}, nil
+}
+
+// TestControlAsksEachEndpointAtABoundedRate has hosts of two sizes of fleet ask
+// for a minute.
+func TestControlAsksEachEndpointAtABoundedRate(t *testing.T) {
+	for _, test := range []struct{ endpoints, least, most int }{
+		{23, 23 * 58, 23 * 61},
+		{240, 8 * 58, 8 * 61},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			var hosts []cloud.Host
+			for i := range test.endpoints {
+				hosts = append(hosts, cloud.Host{
+					ID: identity.Host(fmt.Sprintf("e-%03d", i)), Incarnation: "i", Service: "drafts", State: cloud.Live,
+					Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 9000),
+				})
+			}
+			counts := &asked{times: make(map[string]int)}
+			control := controller.New("entry", "a")
+			watcher := controller.Watcher{
+				Controller: control,
+				Cloud: cloud.Client{
+					List:    func(context.Context) ([]cloud.Host, error) { return hosts, nil },
+					Notices: func(context.Context, uint64) ([]cloud.Notice, error) { return nil, nil },
+				},
+				Engine:     engine.Client{HTTP: &http.Client{Transport: counts}},
+				Log:        slog.New(slog.DiscardHandler),
+				HostsEvery: time.Second, NoticesEvery: time.Second, LoadsEvery: time.Second,
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var group errgroup.Group
+			group.Go(func() error { return control.Run(ctx) })
+			group.Go(func() error { return watcher.Run(ctx) })
+			time.Sleep(time.Minute)
+			cancel()
+			c.Assert(group.Wait(), qt.IsNil)
+			sum := 0
+			for _, times := range counts.times {
+				sum += times
+			}
+			c.Check(len(counts.times), qt.Equals, test.endpoints)
+			c.Check(sum >= test.least && sum <= test.most, qt.IsTrue, qt.Commentf("asked %d times", sum))
+		})
+	}
+}
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -86,9 +86,9 @@
 	Engine   engine.Client
 }
 
-func newClients(s settings.Entry, budget *keyvalue.Budget, commands commandBudget) clients {
-	service := keyvalue.HTTP(s.Platform.KeyValue, platformTransport())
-	platform := &http.Client{Transport: &http.Transport{}}
+func newClients(s settings.Entry, budget *keyvalue.Budget, commands commandBudget, m *meter.Meter) clients {
+	service := keyvalue.HTTP(s.Platform.KeyValue, platformTransport(m, "key_value"))
+	platform := &http.Client{Transport: platformTransport(m, "cloud")}
 	return clients{
 		Cloud:    cloud.HTTP(s.Platform.Cloud, platform),
 		KeyValue: budget.Limit(service),
@@ -101,10 +101,10 @@
 	return controller.New(s.Host, s.Zone)
 }
 
-func newWatcher(c *controller.Controller, api cloud.Client, e engine.Client, log *slog.Logger, server *Server) controller.Watcher {
+func newWatcher(c *controller.Controller, api cloud.Client, m *meter.Meter, log *slog.Logger, server *Server) controller.Watcher {
 	return controller.Watcher{
 		Notice:     server.noticed,
-		Controller: c, Cloud: api, Engine: e, Log: log,
+		Controller: c, Cloud: api, Engine: engine.New(m.Dial("loads")), Log: log,
 		HostsEvery: hostsEvery, NoticesEvery: noticesEvery, LoadsEvery: loadsEvery,
 	}
 }
@@ -113,7 +113,7 @@
 	server := New(l.ctx, l.group, s, WithSnapshot(c.Snapshot), WithLog(log), WithMeter(m), WithClaims(ClaimsOf(claims)))
 	server.Engine = e
 	server.Engine.Pace = server.pace
-	WithPeers(Peers{Self: s.Host, Zone: s.Zone, Live: members.Live, Client: peer.Connect(s.Peer.Keys, nil)})(server)
+	WithPeers(Peers{Self: s.Host, Zone: s.Zone, Live: members.Live, Client: peer.Connect(s.Peer.Keys, m.Dial("handover"))})(server)
 	return server
 }
 
--- a/internal/process/entry/budget.go
+++ b/internal/process/entry/budget.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
 	"github.com/dandelionlift/dandelionlift/internal/process/member"
@@ -12,10 +10,10 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-const platformDialTimeout = time.Second
-
-func platformTransport() *http.Transport {
-	return &http.Transport{DialContext: (&net.Dialer{Timeout: platformDialTimeout}).DialContext}
+// platformTransport makes connections to one of the platform's services, whose
+// bytes count as control of a kind.
+func platformTransport(m *meter.Meter, kind string) *http.Transport {
+	return &http.Transport{DialContext: m.Dial(kind)}
 }
 
 // newBudget bounds this host's calls of the key-value service by its share.
--- a/internal/process/entry/claims.go
+++ b/internal/process/entry/claims.go
@@ -71,9 +71,9 @@
 		}
 	})
 	budget.Count = countCalls(m)
-	c := claimer.New(budget.Limit(keyvalue.HTTP(given.Platform.KeyValue, platformTransport())))
+	c := claimer.New(budget.Limit(keyvalue.HTTP(given.Platform.KeyValue, platformTransport(m, "claims"))))
 	c.Forward = ForwardClaims(Peers{
-		Self: given.Host, Zone: given.Zone, Live: members.Live, Client: peer.Connect(given.Peer.Keys, nil),
+		Self: given.Host, Zone: given.Zone, Live: members.Live, Client: peer.Connect(given.Peer.Keys, m.Dial("claims")),
 	})
 	return c
 }
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -24,7 +24,7 @@
 func newLease(s settings.Entry, members *member.Members, m *meter.Meter, log *slog.Logger) *lease.Lease {
 	budget := keyvalue.NewBudget(func() keyvalue.Rates { return keyvalue.Rates{Reads: leaseReads, Writes: leaseWrites} })
 	budget.Count = countCalls(m)
-	kv := budget.Limit(keyvalue.HTTP(s.Platform.KeyValue, platformTransport()))
+	kv := budget.Limit(keyvalue.HTTP(s.Platform.KeyValue, platformTransport(m, "lease")))
 	l := lease.New(kv, lease.ZoneKey(s.Zone), s.Host, members.Self().Incarnation)
 	l.Contend = members.Relay
 	l.Log = log
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -13,17 +13,18 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/controller"
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
 	"github.com/dandelionlift/dandelionlift/internal/process/member"
+	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-func newMembers(l life, s settings.Entry, c *controller.Controller, log *slog.Logger) *member.Members {
+func newMembers(l life, s settings.Entry, c *controller.Controller, m *meter.Meter, log *slog.Logger) *member.Members {
 	members := member.New(member.Peer{
 		Host: s.Host, Incarnation: identity.NewIncarnation(), Zone: s.Zone, Address: s.PeerListen,
 	})
 	members.Log = log
-	members.Connect = func() *http.Client { return peer.Connect(s.Peer.Keys, nil) }
+	members.Connect = func() *http.Client { return peer.Connect(s.Peer.Keys, m.Dial("heartbeats")) }
 	members.Listed = func() []member.Peer {
 		var listed []member.Peer
 		for _, h := range c.EntryHosts() {
--- a/internal/process/entry/replacement.go
+++ b/internal/process/entry/replacement.go
@@ -18,6 +18,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/journal"
 	"github.com/dandelionlift/dandelionlift/internal/process/lease"
 	"github.com/dandelionlift/dandelionlift/internal/process/loader"
+	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/reclaim"
 	"github.com/dandelionlift/dandelionlift/internal/process/replacement"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
@@ -75,9 +76,9 @@
 }
 
 func newLoader(
-	s settings.Entry, c *controller.Controller, e engine.Client, zone *lease.Lease, log *slog.Logger,
+	s settings.Entry, c *controller.Controller, e engine.Client, zone *lease.Lease, m *meter.Meter, log *slog.Logger,
 ) *loader.Loader {
-	store := &http.Client{Transport: platformTransport(), Timeout: storeTimeout}
+	store := &http.Client{Transport: platformTransport(m, "weights"), Timeout: storeTimeout}
 	return &loader.Loader{
 		Zone: s.Zone, Snapshot: c.Snapshot, Lease: zone.Held, Weights: weights.HTTP(s.Platform.Weights, store),
 		Engine: e, Random: newRandom(), Log: log,
