--- a/cmd/dandelionlift/cost_test.go
+++ b/cmd/dandelionlift/cost_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -71,7 +72,9 @@
 	for _, s := range sides {
 		s.before = r.usage(s.entry)
 	}
+	controlBefore := r.control(0)
 	time.Sleep(costDuration)
+	r.logControl(0, costDuration, controlBefore)
 	for _, s := range sides {
 		s.idle = (r.usage(s.entry).cpu - s.before.cpu).Seconds() / costDuration.Seconds()
 		t.Logf("%s idle: cpu %.2f%% of a core", s.name, 100*s.idle)
@@ -129,3 +132,33 @@
 		s.name, len(s.load), report.Whole, tokens, float64(tokens)/took.Seconds(), busy,
 		busy*1e6/float64(max(1, tokens)), s.after.resident, report.FirstToken.P95, report.BetweenTokens.P95)
 }
+
+// control reads the bytes of control by kind from an entry host's metrics.
+func (r *run) control(entry int) map[string]int {
+	response, err := http.Get("http://" + r.entries[entry].Listen.String() + "/metrics")
+	qt.Assert(r.t, err, qt.IsNil)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	qt.Assert(r.t, err, qt.IsNil)
+	kinds := make(map[string]int)
+	for line := range strings.Lines(string(text)) {
+		name, number, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if strings.HasPrefix(name, "control_bytes_total") || strings.HasPrefix(name, "keyvalue_calls_total") {
+			kinds[name], err = strconv.Atoi(number)
+			qt.Assert(r.t, err, qt.IsNil)
+		}
+	}
+	return kinds
+}
+
+// logControl says what control took a second since before.
+func (r *run) logControl(entry int, took time.Duration, before map[string]int) {
+	sum := 0
+	for kind, count := range r.control(entry) {
+		r.t.Logf("idle %s: %.1f a second", kind, float64(count-before[kind])/took.Seconds())
+		if strings.HasPrefix(kind, "control_bytes_total") {
+			sum += count - before[kind]
+		}
+	}
+	r.t.Logf("idle control bytes in all: %.0f a second", float64(sum)/took.Seconds())
+}
--- a/internal/process/controller/watch.go
+++ b/internal/process/controller/watch.go
@@ -28,8 +28,7 @@
 const (
 	askTimeout    = 2 * time.Second
 	loadsAtOnce   = 16
-	askedAtOnce   = 32
-	askedInTurn   = 8
+	askedEachTime = 8
 	firstSequence = 0
 )
 
@@ -101,19 +100,15 @@
 	}
 }
 
-// loads asks endpoints for their load, from the turn-th on, and gives the next
-// turn. Up to askedAtOnce are all asked each time; of more, askedInTurn, so that
-// asking costs the same however many there are.
+// loads asks askedEachTime endpoints for their load, from the turn-th on, and
+// gives the next turn, so that asking costs the same however many there are.
 func (w Watcher) loads(ctx context.Context, turn int) int {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var group errgroup.Group
 	group.SetLimit(loadsAtOnce)
 	endpoints := w.Controller.Snapshot().Endpoints
-	asked := len(endpoints)
-	if asked > askedAtOnce {
-		asked = askedInTurn
-	}
+	asked := min(len(endpoints), askedEachTime)
 	for i := range asked {
 		e := endpoints[(turn+i)%len(endpoints)]
 		group.Go(func() error {
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -30,7 +30,7 @@
 )
 
 const (
-	hostsEvery   = time.Second
+	hostsEvery   = 2 * time.Second
 	noticesEvery = 500 * time.Millisecond
 	loadsEvery   = time.Second
 	// stopTimeout must outlast any answer; fx's own default would cut requests.
