loader/test: let late orders arrive between two looks

The test slept a whole number of the holder's looks, so that its late orders and a look fell on one instant of virtual time, and the holder sometimes mended an endpoint before the test had counted. Ruled out: an order that did not arrive (both kinds of endpoint answer as they should); a fault of the loader, which mended what the test had broken. Change: the late orders come a quarter of a second after a look. All checks stay. Conclusion: the verdict no longer depends on the schedule.

--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -154,7 +154,8 @@
 		w.fence, w.version = 2, "v3"
 		w.mu.Unlock()
 		w.start(ctx, 2)
-		time.Sleep(time.Minute)
+		// The late orders arrive between two looks of the new holder.
+		time.Sleep(time.Minute + 250*time.Millisecond)
 		qt.Check(t, w.loaded("v3"), qt.Equals, 8)
 		for _, e := range w.fleet {
 			late := wire.Order{Fence: 1, Incarnation: e.Incarnation, Model: e.Service, ModelVersion: "v2", Role: "mixed"}
