standin/ledger: name request and incarnation on refused paths too

Cause: a call to a path that the ledger does not have came back as 502 answer_mismatch in place of 404: gorilla/mux skips middleware for paths and methods it does not know, and so the identity headers were missing. Ruled out: passing answers without identity on, which would let a swapped answer through. Change: both handlers go through identify. Seen to fail: four of the test's checks, on 404 and 405, before the change. Measured: the test passes. Conclusion: the caller gets the service's own status.

--- a/internal/standin/ledger/ledger.go
+++ b/internal/standin/ledger/ledger.go
@@ -70,9 +70,15 @@
 	router.HandleFunc("/filings/{id}", l.file).Methods(http.MethodPost)
 	router.HandleFunc("/filings/{id}", l.look).Methods(http.MethodGet)
 	router.HandleFunc(engine.LoadPath, l.load).Methods(http.MethodGet)
+	router.NotFoundHandler = l.identify(http.NotFoundHandler())
+	router.MethodNotAllowedHandler = l.identify(http.HandlerFunc(notAllowed))
 	return router
 }
 
+func notAllowed(w http.ResponseWriter, _ *http.Request) {
+	http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+}
+
 // identify refuses calls meant for another incarnation, before anything runs.
 func (l *Ledger) identify(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
