--- a/internal/connection/keyvalue/client.go
+++ b/internal/connection/keyvalue/client.go
@@ -168,6 +168,12 @@
 		return value, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer finish(response)
+	return written(response)
+}
+
+// written reads the answer to a put.
+func written(response *http.Response) (Value, error) {
+	var value Value
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusConflict:
 	case http.StatusServiceUnavailable:
--- a/internal/process/entry/completion.go
+++ b/internal/process/entry/completion.go
@@ -246,28 +246,31 @@
 			writeEvent(w, streamed(running, piece, chat))
 			offset += piece.Count
 		}
-		if piece.Done && piece.Failure != nil {
-			s.Meter.Refused(piece.Failure.Reason)
-			fmt.Fprint(w, "event: error\n")
-			writeEvent(w, newProblem(string(running.call.Request), piece.Failure))
-			return
-		}
 		if piece.Done {
-			stop := "stop"
-			writeEvent(w, chunk{
-				ID: running.call.Request, Object: "text_completion", Model: running.call.Service, Offset: offset,
-				Choices: []choice{{FinishReason: &stop}}, Usage: &piece.Usage,
-			})
-			fmt.Fprint(w, "data: [DONE]\n\n")
-			s.flush(controller)
-			return
+			s.endStream(w, running, offset, piece)
 		}
-		if !s.flush(controller) {
+		if !s.flush(controller) || piece.Done {
 			return
 		}
 	}
 }
 
+// endStream writes how the answer ended.
+func (s *Server) endStream(w http.ResponseWriter, running work, offset unit.Tokens, last answer.Piece) {
+	if last.Failure != nil {
+		s.Meter.Refused(last.Failure.Reason)
+		fmt.Fprint(w, "event: error\n")
+		writeEvent(w, newProblem(string(running.call.Request), last.Failure))
+		return
+	}
+	stop := "stop"
+	writeEvent(w, chunk{
+		ID: running.call.Request, Object: "text_completion", Model: running.call.Service, Offset: offset,
+		Choices: []choice{{FinishReason: &stop}}, Usage: &last.Usage,
+	})
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
 func streamed(running work, piece answer.Piece, chat bool) chunk {
 	c := choice{Text: piece.Text}
 	if chat {
