cmd/dandelionlift: end the failure run's processes with the test

Ruled out: a fault of operators' commands (no entry process of that run started). Change: the processes are killed with the test that started them, and a run refuses to start where somebody listens already.

--- a/cmd/dandelionlift/failure_test.go
+++ b/cmd/dandelionlift/failure_test.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -256,15 +257,23 @@
 	r.relay, err = newRelay(front, behind.Listen.String())
 	c.Assert(err, qt.IsNil)
 	behind.Advertise = r.relay.address()
-	r.spawn("standin", "standin", r.write("standin.toml", r.standin))
 	r.write("configuration.toml", r.user.Configuration())
 	r.entries = r.user.Entries(addresses)
 	change(r.entries)
 	for _, e := range r.entries {
 		e.Bootstrap.Configuration = "configuration.toml"
-		r.spawn(e.Host, "entry", r.write(string(e.Host)+".toml", e))
+		r.write(string(e.Host)+".toml", e)
 	}
 	t.Cleanup(r.stop)
+	for _, e := range r.entries {
+		// Whoever listens there already would be taken for this run's.
+		_, err := net.DialTimeout("tcp", e.Listen.String(), time.Second)
+		c.Assert(err, qt.ErrorMatches, ".*connection refused", qt.Commentf("%s is in use", e.Listen))
+	}
+	r.spawn("standin", "standin", r.write("standin.toml", r.standin))
+	for _, e := range r.entries {
+		r.spawn(e.Host, "entry", filepath.Join(r.dir, string(e.Host)+".toml"))
+	}
 	for deadline := time.Now().Add(30 * time.Second); r.balance() < len(r.entries); {
 		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("not all entry hosts became ready"))
 		time.Sleep(100 * time.Millisecond)
@@ -285,6 +294,8 @@
 	qt.Assert(r.t, err, qt.IsNil)
 	process := exec.Command(r.binary, command, "--settings", path)
 	process.Stderr = log
+	// The processes end with the test, also when it is killed.
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	qt.Assert(r.t, process.Start(), qt.IsNil)
 	r.processes[host] = process
 }
