connection/pause, standin/reply: one wait and one answer for many copies

Cause: the read-through: waiting for a time or a context stood seven times, the stand-ins' JSON answer four times, and three things had no caller. Ruled out: merging the back-off loops, which differ in what they retry, and generated code. The engine stand-in keeps its sleep, which gives an error. Behaviour and tests stay. Conclusion: reads shorter, nothing else moved.

--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 	"github.com/dandelionlift/dandelionlift/internal/version/unit"
@@ -33,8 +34,9 @@
 	// toleratedUnknown is how many hosts in a row may not know a request before
 	// it is taken for lost with its entry host.
 	toleratedUnknown = 4
-	pause            = 250 * time.Millisecond
-	jsonType         = "application/json"
+	// resendAfter is the pause before a call is sent again.
+	resendAfter = 250 * time.Millisecond
+	jsonType    = "application/json"
 )
 
 // Client calls entry hosts.
@@ -124,7 +126,7 @@
 	r := &reading{sent: time.Now()}
 	for try := range tries {
 		if try > 0 {
-			wait(ctx)
+			pause.For(ctx, resendAfter)
 		}
 		request, err := c.request(ctx, r, body)
 		if err != nil {
@@ -266,10 +268,3 @@
 	}
 	return verdict.New(verdict.Parse(r.Verdict), r.Reason, r.Detail)
 }
-
-func wait(ctx context.Context) {
-	select {
-	case <-time.After(pause):
-	case <-ctx.Done():
-	}
-}
--- a/internal/connection/caller/plain.go
+++ b/internal/connection/caller/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
@@ -31,7 +32,7 @@
 	var attempts []Attempt
 	for try := range tries {
 		if try > 0 {
-			wait(ctx)
+			pause.For(ctx, resendAfter)
 		}
 		request, err := c.plainRequest(ctx, key, call)
 		if err != nil {
--- a/internal/process/command/ask.go
+++ b/internal/process/command/ask.go
@@ -17,6 +17,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/process/operator"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
@@ -133,7 +134,7 @@
 	var err error
 	for try := range askTries {
 		if try > 0 {
-			pause(ctx, askPause)
+			pause.For(ctx, askPause)
 		}
 		t, err = a.send(ctx, operator.Ask{Command: id, Line: line, DryRun: a.dryRun})
 		if err == nil && !t.OutcomeUnknown {
@@ -149,13 +150,6 @@
 	return a.outcome(t)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (a asker) outcome(t operator.Table) error {
 	switch {
 	case t.OutcomeUnknown:
--- a/internal/process/demo/demo.go
+++ b/internal/process/demo/demo.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/caller"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/process/entry"
 	"github.com/dandelionlift/dandelionlift/internal/process/load"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
@@ -176,7 +177,7 @@
 	group.Go(func() error {
 		for ctx.Err() == nil {
 			d.balance(ctx)
-			sleep(ctx, readyPoll)
+			pause.For(ctx, readyPoll)
 		}
 		return nil
 	})
@@ -202,10 +203,10 @@
 // events reclaims a zone and stops an entry host while calls run.
 func (d *Demo) events(ctx context.Context, standins *deployment.Deployment) error {
 	zone := d.User.Zones[int(d.Seed)%len(d.User.Zones)].ID
-	sleep(ctx, reclaimAt)
+	pause.For(ctx, reclaimAt)
 	taken := standins.Cloud.Reclaim(cloud.Reclaim{Zone: zone, NoticeMillis: notice.Milliseconds()})
 	d.say("t=%v zone %s: %d hosts reclaimed with %v of notice, while answers stream", reclaimAt, zone, len(taken), notice)
-	sleep(ctx, stopAt-reclaimAt)
+	pause.For(ctx, stopAt-reclaimAt)
 	last := len(d.apps) - 1
 	d.say("t=%v entry host %s: planned stop begins", stopAt, d.entries[last].Host)
 	err := d.apps[last].Stop(context.WithoutCancel(ctx))
@@ -259,10 +260,3 @@
 	}
 	d.say("lost: %s request=%s reason=%s detail=%q cut=%v status=%d", o.Kind, o.Result.Request, reason, detail, o.Cut, o.Result.Status)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/process/entry/assemble.go
+++ b/internal/process/entry/assemble.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/request/attempt"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
@@ -127,27 +128,12 @@
 			return endpoint, false
 		}
 		*tried = nil
-		if !pause(ctx, leavingPoll) {
+		if !pause.For(ctx, leavingPoll) {
 			return endpoint, false
 		}
 	}
 }
 
-// pause waits, or reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // attempt tries an endpoint. When the connection may be at fault and the
 // endpoint answers on a new one, it is tried once more there before it is
 // blamed.
--- a/internal/process/entry/drain.go
+++ b/internal/process/entry/drain.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/process/operator"
 )
 
@@ -22,11 +23,11 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.Log.Info("stop_began", "running", s.Running())
-	if !pause(ctx, time.Duration(s.settings.Stop.BalancerLag)) {
+	if !pause.For(ctx, time.Duration(s.settings.Stop.BalancerLag)) {
 		return s.hurry(ctx)
 	}
 	for s.Running() > 0 {
-		if !pause(ctx, drainPoll) {
+		if !pause.For(ctx, drainPoll) {
 			return s.hurry(ctx)
 		}
 	}
--- a/internal/process/entry/handover.go
+++ b/internal/process/entry/handover.go
@@ -12,6 +12,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
 	"github.com/dandelionlift/dandelionlift/internal/connection/handover"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/connection/peer"
 	"github.com/dandelionlift/dandelionlift/internal/process/member"
 	"github.com/dandelionlift/dandelionlift/internal/request/answer"
@@ -61,7 +62,7 @@
 func (s *Server) HandOver(ctx context.Context) {
 	s.stopping.Store(true)
 	s.requests.stopAll(errHandover)
-	for s.Running() > 0 && pause(ctx, drainPoll) {
+	for s.Running() > 0 && pause.For(ctx, drainPoll) {
 	}
 }
 
@@ -81,7 +82,7 @@
 func (s *Server) Leave(ctx context.Context, deadline time.Time) {
 	s.stopping.Store(true)
 	s.Log.Info("host_leaves", "deadline", deadline, "running", s.Running())
-	if pause(ctx, time.Until(deadline)-handoverMargin) {
+	if pause.For(ctx, time.Until(deadline)-handoverMargin) {
 		s.HandOver(ctx)
 	}
 }
--- a/internal/process/entry/retry.go
+++ b/internal/process/entry/retry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/request/call"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
@@ -87,11 +88,11 @@
 	}
 	began := time.Now()
 	for !s.retries.spend(c.Service) {
-		if time.Since(began) > retryWait || !pause(ctx, jitter(attempts)) {
+		if time.Since(began) > retryWait || !pause.For(ctx, jitter(attempts)) {
 			return verdict.Wrap(failure.Verdict, verdict.RetryBudget, failure)
 		}
 	}
-	if !pause(ctx, jitter(attempts)) {
+	if !pause.For(ctx, jitter(attempts)) {
 		return failure
 	}
 	return nil
--- a/internal/process/journal/commit.go
+++ b/internal/process/journal/commit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -43,7 +44,7 @@
 
 // insist tries a batch against other writers.
 func (j *Journal) insist(ctx context.Context, list []pending) ([]outcome, error) {
-	pause := newPause()
+	backOff := newPause()
 	var err error
 	// unsettled is true once a write may have been accepted unseen.
 	unsettled := false
@@ -57,7 +58,7 @@
 		if !errors.Is(err, keyvalue.ErrConflict) {
 			break
 		}
-		wait(ctx, pause.NextBackOff()/retrySpread)
+		pause.For(ctx, backOff.NextBackOff()/retrySpread)
 	}
 	if unsettled {
 		err = errors.Join(ErrUnsettled, err)
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -36,6 +36,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
@@ -145,10 +146,10 @@
 func (j *Journal) follow(ctx context.Context) error {
 	var after keyvalue.Revision
 	quiet := 0
-	pause := newPause()
+	backOff := newPause()
 	for ctx.Err() == nil {
 		if version, _ := j.Version(); version != 0 && !j.Relay() {
-			wait(ctx, dutyPoll)
+			pause.For(ctx, dutyPoll)
 			continue
 		}
 		value, err := j.KeyValue.Watch(ctx, HeadKey, after, watchWait)
@@ -162,14 +163,14 @@
 			}
 		}
 		if err == nil {
-			pause.Reset()
-			wait(ctx, readsApart)
+			backOff.Reset()
+			pause.For(ctx, readsApart)
 			continue
 		}
 		if ctx.Err() == nil {
 			j.Log.Warn("configuration_unavailable", "error", err)
 		}
-		wait(ctx, pause.NextBackOff())
+		pause.For(ctx, backOff.NextBackOff())
 	}
 	return nil
 }
@@ -213,18 +214,9 @@
 }
 
 func newPause() *backoff.ExponentialBackOff {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = retryFirst
-	pause.MaxInterval = retryMost
-	pause.Multiplier = 2
-	return pause
-}
-
-func wait(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	backOff := backoff.NewExponentialBackOff()
+	backOff.InitialInterval = retryFirst
+	backOff.MaxInterval = retryMost
+	backOff.Multiplier = 2
+	return backOff
 }
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -104,7 +105,7 @@
 			l.keep(ctx, revision)
 			continue
 		}
-		wait(ctx, jittered(contendEvery))
+		pause.For(ctx, jittered(contendEvery))
 	}
 	return nil
 }
@@ -143,7 +144,7 @@
 	// open holds the writers of renewals whose outcome is not known.
 	open := make(map[string]bool)
 	for {
-		wait(ctx, jittered(renewEvery))
+		pause.For(ctx, jittered(renewEvery))
 		if ctx.Err() != nil {
 			l.release(revision)
 			return
@@ -200,12 +201,3 @@
 func jittered(pause time.Duration) time.Duration {
 	return pause*3/4 + time.Duration(rand.Int64N(int64(pause/4)))
 }
-
-func wait(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -26,7 +26,6 @@
 	"github.com/google/uuid"
 
 	"github.com/dandelionlift/dandelionlift/internal/request/call"
-	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
 const (
@@ -61,11 +60,6 @@
 	return hash(string(c.Organisation), key)
 }
 
-// OfRequest gives the id that a call without a key is claimed under.
-func OfRequest(organisation identity.Organisation, request identity.Request) ID {
-	return hash(string(organisation), "request:"+string(request))
-}
-
 // content hashes what a repeat under the same key must have in common.
 func content(c call.Call) []byte {
 	sum := hash(string(c.Service), c.Method, c.Path, c.Query, c.ContentType, string(c.Body))
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -17,6 +17,7 @@
 	"github.com/gorilla/mux"
 
 	wire "github.com/dandelionlift/dandelionlift/internal/connection/cloud"
+	"github.com/dandelionlift/dandelionlift/internal/standin/reply"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -117,7 +118,7 @@
 	}
 	c.mu.Unlock()
 	sort.Slice(answer.Hosts, func(i, j int) bool { return answer.Hosts[i].ID < answer.Hosts[j].ID })
-	reply(w, answer)
+	reply.JSON(w, http.StatusOK, answer)
 }
 
 func (c *Cloud) start(w http.ResponseWriter, r *http.Request) {
@@ -143,7 +144,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, host)
+	reply.JSON(w, http.StatusOK, host)
 }
 
 func (c *Cloud) refuses(start wire.Start) bool {
@@ -188,7 +189,7 @@
 		}
 	}
 	c.mu.Unlock()
-	reply(w, answer)
+	reply.JSON(w, http.StatusOK, answer)
 }
 
 func (c *Cloud) reclaim(w http.ResponseWriter, r *http.Request) {
@@ -197,7 +198,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	reply(w, struct {
+	reply.JSON(w, http.StatusOK, struct {
 		Hosts []identity.Host `json:"hosts"`
 	}{c.Reclaim(ask)})
 }
@@ -238,8 +239,3 @@
 	}
 	c.SetFaults(f)
 }
-
-func reply(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(body)
-}
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 
 	wire "github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/standin/reply"
 	"github.com/dandelionlift/dandelionlift/internal/version/unit"
 )
 
@@ -27,7 +28,7 @@
 	report := e.reports[0].report
 	report.Leaving = e.leaving
 	e.mu.Unlock()
-	reply(w, report)
+	reply.JSON(w, http.StatusOK, report)
 }
 
 // report describes the engine now; mu is held.
@@ -60,7 +61,7 @@
 		}
 	}
 	e.mu.Unlock()
-	reply(w, answer)
+	reply.JSON(w, http.StatusOK, answer)
 }
 
 func (e *Engine) entries(w http.ResponseWriter, r *http.Request) {
@@ -70,7 +71,7 @@
 	e.mu.Lock()
 	answer := wire.Entries{Incarnation: e.Incarnation, Entries: e.cache.entries()}
 	e.mu.Unlock()
-	reply(w, answer)
+	reply.JSON(w, http.StatusOK, answer)
 }
 
 // misdirected refuses a call that names another incarnation.
@@ -101,7 +102,7 @@
 				return
 			}
 		}
-		reply(w, entry)
+		reply.JSON(w, http.StatusOK, entry)
 		return
 	}
 	http.Error(w, "no such entry", http.StatusNotFound)
@@ -145,8 +146,3 @@
 	}
 	e.order = order
 }
-
-func reply(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(body)
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -103,11 +103,6 @@
 	}
 }
 
-// Token gives the text of one token of the answer to prompt.
-func Token(prompt string, offset unit.Tokens) string {
-	return token(xxh3.HashString(prompt), offset)
-}
-
 func token(seed uint64, offset unit.Tokens) string {
 	hash := xxh3.HashStringSeed(strconv.FormatInt(int64(offset), 10), seed)
 	return fmt.Sprintf("%04x ", hash&0xffff)
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -18,6 +18,7 @@
 	"github.com/gorilla/mux"
 
 	wire "github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/standin/reply"
 )
 
 // Faults says how the service misbehaves. The zero value is a healthy service.
@@ -94,7 +95,7 @@
 }
 
 func (s *Service) getCounts(w http.ResponseWriter, _ *http.Request) {
-	reply(w, http.StatusOK, s.Counts())
+	reply.JSON(w, http.StatusOK, s.Counts())
 }
 
 // admit applies the faults that come before a call; false means it was answered.
@@ -137,7 +138,7 @@
 	}
 	s.mu.Unlock()
 	sort.Slice(values, func(i, j int) bool { return values[i].Key < values[j].Key })
-	reply(w, http.StatusOK, values)
+	reply.JSON(w, http.StatusOK, values)
 }
 
 func (s *Service) get(w http.ResponseWriter, r *http.Request) {
@@ -154,7 +155,7 @@
 			http.Error(w, "absent", http.StatusNotFound)
 			return
 		}
-		reply(w, http.StatusOK, value)
+		reply.JSON(w, http.StatusOK, value)
 		return
 	}
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -179,7 +180,7 @@
 			return
 		}
 		if ok && value.Revision > after {
-			reply(w, http.StatusOK, value)
+			reply.JSON(w, http.StatusOK, value)
 			return
 		}
 		select {
@@ -216,7 +217,7 @@
 	if !swapped {
 		status = http.StatusConflict
 	}
-	reply(w, status, value)
+	reply.JSON(w, status, value)
 }
 
 // hold keeps a write on its way.
@@ -267,9 +268,3 @@
 	}
 	return found.value, true
 }
-
-func reply(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(body)
-}
--- a/internal/standin/ledger/ledger.go
+++ b/internal/standin/ledger/ledger.go
@@ -3,7 +3,6 @@
 package ledger
 
 import (
-	"encoding/json"
 	"io"
 	"maps"
 	"net/http"
@@ -13,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/standin/reply"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -104,20 +104,15 @@
 	id := mux.Vars(r)["id"]
 	runs := l.Records.Run(id)
 	time.Sleep(l.Work)
-	reply(w, Filing{ID: id, Runs: runs, Body: string(body)})
+	reply.JSON(w, http.StatusOK, Filing{ID: id, Runs: runs, Body: string(body)})
 }
 
 func (l *Ledger) look(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["id"]
 	time.Sleep(l.Work)
-	reply(w, Filing{ID: id, Runs: l.Records.Runs(id)})
+	reply.JSON(w, http.StatusOK, Filing{ID: id, Runs: l.Records.Runs(id)})
 }
 
 func (l *Ledger) load(w http.ResponseWriter, _ *http.Request) {
-	reply(w, engine.LoadReport{Incarnation: l.Incarnation})
-}
-
-func reply(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(body)
+	reply.JSON(w, http.StatusOK, engine.LoadReport{Incarnation: l.Incarnation})
 }
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -70,8 +70,6 @@
 	Configuration configuration.Configuration
 	// Endpoints is sorted by Host and holds one incarnation a host.
 	Endpoints []Endpoint
-	// CutOff tells that the platform has not answered for a while.
-	CutOff bool
 
 	byService map[identity.Service][]int
 }
