platform: serve callers on the users' platform through an adapter

Cause: the users' machines speak in their own way, and the product had no core that streams a call to an endpoint without rebuilding it.

Ruled out: putting the platform under internal/process/entry. Its calls are whole JSON documents, held and rebuilt, and what it needs beside (claims, a configuration log, handover) the platform makes needless.

Change: new packages for what the product lacked: catalogue (routes, services, organisations), endpoint (byte for byte exchange with a verdict), event, forward, balance, quota, retry, usage, clock, neighbour, mirror, duty, scaling and gateway; keyvalue.Store for ranges, watches, transactions and leases; and platform/, which only translates. test.sh reads ldd's output before it looks in it: grep -q ended the pipe early and failed 3 times in 200.

--- a/internal/process/command/command.go
+++ b/internal/process/command/command.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/entry"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/standin/deployment"
+	"github.com/dandelionlift/dandelionlift/platform"
 )
 
 // Root builds the command line.
@@ -34,14 +36,29 @@
 		Short: "Run an entry host",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return runEntry(c.Context(), path)
+			return startEntry(c.Context(), path)
 		},
 	}
-	c.Flags().StringVar(&path, "settings", "", "settings file")
-	c.MarkFlagRequired("settings")
+	c.Flags().StringVar(&path, "settings", "", "settings file; needed unless the users' platform names one of its own")
 	return c
 }
 
+// errNoSettings tells that neither the command line nor the platform names a file.
+var errNoSettings = errors.New("entry: --settings FILE is needed")
+
+// startEntry runs an entry host by its own settings file, or else by the
+// platform's.
+func startEntry(ctx context.Context, path string) error {
+	if path != "" {
+		return runEntry(ctx, path)
+	}
+	named, ok := platform.SettingsFile()
+	if !ok {
+		return errNoSettings
+	}
+	return platform.Run(ctx, named, slog.New(slog.NewTextHandler(os.Stdout, nil)))
+}
+
 func runEntry(ctx context.Context, path string) error {
 	s, bootstrap, err := settings.ReadEntry(path)
 	if err != nil {
--- /dev/null
+++ b/internal/process/gateway/duties.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
+	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
+	"github.com/dandelionlift/dandelionlift/internal/process/scaling"
+	"github.com/dandelionlift/dandelionlift/internal/process/usage"
+	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+const (
+	// usageEvery is the period of looking for windows to report.
+	usageEvery = 500 * time.Millisecond
+	// usageSettle is how long after a window's end all counts have been told.
+	usageSettle = 1500 * time.Millisecond
+	// usageKept is how many windows' records stay in the store, for a successor.
+	usageKept = 12
+	// callWithin bounds a duty's call, less than a lease lasts.
+	callWithin = 1200 * time.Millisecond
+)
+
+// runUsage reports each window's usage while this host holds the duty.
+func (g *Gateway) runUsage(ctx context.Context) error {
+	reported := make(map[usage.Window]bool)
+	for pause.For(ctx, usageEvery) {
+		if _, ok := g.duty.Fence(); !ok {
+			continue
+		}
+		now := g.clock.Now()
+		last := g.usage.WindowAt(now.Add(-usageSettle)) - 1
+		for w := g.usage.WindowAt(now.Add(-g.bounds.UsageLate)) - 1; w <= last; w++ {
+			if !reported[w] && g.usage.End(w).Add(g.bounds.UsageLate).After(now) {
+				reported[w] = g.report(ctx, w)
+			}
+		}
+		for w := range reported {
+			if w < last-usageKept {
+				delete(reported, w)
+			}
+		}
+	}
+	return nil
+}
+
+// report writes a window's counts to the store first, so that whoever holds the
+// duty later repeats the same, and then tells the platform.
+func (g *Gateway) report(ctx context.Context, w usage.Window) bool {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	counts, err := g.record(ctx, w)
+	if err != nil {
+		g.log.Info("usage_not_recorded", "window", w, "error", err)
+		return false
+	}
+	fence, ok := g.duty.Fence()
+	if !ok {
+		return false
+	}
+	err = g.edge.Duties.ReportUsage(ctx, fence, int64(w), counts)
+	g.outcome(err)
+	g.log.Info("usage_reported", "window", w, "fence", fence, "counts", counts, "error", err)
+	return err == nil
+}
+
+// record gives the counts of a window that the store holds, after writing them
+// if it holds none.
+func (g *Gateway) record(ctx context.Context, w usage.Window) (usage.Counts, error) {
+	key := usagePrefix + strconv.FormatInt(int64(w), 10)
+	counts := g.usage.Sum(w)
+	data, err := json.Marshal(counts)
+	if err != nil {
+		return nil, err
+	}
+	_, err = g.edge.Store.Commit(ctx, keyvalue.Transaction{
+		Conditions: []keyvalue.Condition{{Key: key}},
+		Writes:     []keyvalue.Entry{{Key: key, Data: data}},
+		Deletes:    []string{usagePrefix + strconv.FormatInt(int64(w)-usageKept, 10)},
+	})
+	if err == nil {
+		return counts, nil
+	}
+	if !errors.Is(err, keyvalue.ErrConflict) && !errors.Is(err, keyvalue.ErrAmbiguous) {
+		return nil, err
+	}
+	value, err := g.edge.Store.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	held := make(usage.Counts)
+	return held, json.Unmarshal(value.Data, &held)
+}
+
+// outcome raises the fence after a call of which no answer came.
+func (g *Gateway) outcome(err error) {
+	if errors.Is(err, cloud.ErrUnanswered) {
+		g.duty.Unanswered()
+	}
+}
+
+const (
+	// scaleEvery is the period of planning.
+	scaleEvery = 500 * time.Millisecond
+	// dryFor is how long a zone is taken to have no reclaimable endpoints after
+	// some were taken away or refused.
+	dryFor = 6 * time.Second
+	// repeatAfter is how long after an order that was done it is given again while
+	// fewer endpoints are there than were ordered.
+	repeatAfter = 6 * time.Second
+	// refusedAfter is how long an order that was refused waits.
+	refusedAfter = 2 * time.Second
+)
+
+// kind is one thing that is ordered.
+type kind struct {
+	service     identity.Service
+	zone        identity.Zone
+	reclaimable bool
+}
+
+// order is the last order of a kind.
+type order struct {
+	fence   identity.Fence
+	desired int
+	at      time.Time
+	done    bool
+}
+
+// planner is the scaling of one host while it holds the duty.
+type planner struct {
+	g      *Gateway
+	memory map[identity.Service]*scaling.Memory
+	orders map[kind]order
+	dry    map[kind]time.Time
+	seen   map[identity.Incarnation]bool
+}
+
+// runScaling plans and orders while this host holds the duty.
+func (g *Gateway) runScaling(ctx context.Context) error {
+	p := planner{
+		g: g, memory: make(map[identity.Service]*scaling.Memory), orders: make(map[kind]order),
+		dry: make(map[kind]time.Time), seen: make(map[identity.Incarnation]bool),
+	}
+	for pause.For(ctx, scaleEvery) {
+		c := g.catalogue.Load()
+		if c == nil {
+			continue
+		}
+		_, holds := g.duty.Fence()
+		for i := range c.Services {
+			if s := &c.Services[i]; s.Scaling != nil {
+				p.step(ctx, s, holds)
+			}
+		}
+	}
+	return nil
+}
+
+// step plans one service; a host that does not hold the duty only looks on.
+func (p *planner) step(ctx context.Context, s *catalogue.Service, holds bool) {
+	zones := p.zones(time.Now(), s)
+	if !holds {
+		clear(p.orders)
+		return
+	}
+	for i, w := range scaling.Plan(s.Scaling, zones) {
+		p.order(ctx, kind{s.ID, w.Zone, true}, w.Reclaimable, zones[i].Reclaimable)
+		if scaling.Ready(zones[i], w) {
+			p.order(ctx, kind{s.ID, w.Zone, false}, w.Stable, zones[i].Stable)
+		}
+	}
+}
+
+// zones counts what there is of a service.
+func (p *planner) zones(now time.Time, s *catalogue.Service) []scaling.Zone {
+	memory := p.memory[s.ID]
+	if memory == nil {
+		memory = new(scaling.Memory)
+		p.memory[s.ID] = memory
+	}
+	memory.Pass(now)
+	demand := p.g.zoneWork(s.ID)
+	byZone := make(map[identity.Zone]*scaling.Zone)
+	for zone := range p.g.place.Regions {
+		byZone[zone] = &scaling.Zone{Zone: zone, Demand: memory.Smooth(zone, demand[zone])}
+	}
+	for _, e := range p.g.balancer.Fleet(s.ID) {
+		z := byZone[e.Zone]
+		switch {
+		case z == nil:
+		case e.Leaving && e.Reclaimable && !p.seen[e.Incarnation]:
+			p.seen[e.Incarnation] = true
+			p.dry[kind{s.ID, e.Zone, true}] = now
+		case e.Leaving:
+		case e.Reclaimable:
+			z.Reclaimable++
+		default:
+			z.Stable++
+		}
+	}
+	var zones []scaling.Zone
+	for _, z := range byZone {
+		z.Dry = now.Sub(p.dry[kind{s.ID, z.Zone, true}]) < dryFor
+		zones = append(zones, *z)
+	}
+	scaling.Sort(zones)
+	return zones
+}
+
+// order tells the platform what is wanted, unless it was told.
+func (p *planner) order(ctx context.Context, k kind, desired, present int) {
+	fence, ok := p.g.duty.Fence()
+	if !ok {
+		return
+	}
+	last, ordered := p.orders[k]
+	age := time.Since(last.at)
+	same := ordered && last.desired == desired && last.fence == fence
+	switch {
+	case same && last.done && (present >= desired || age < repeatAfter):
+		return
+	case same && !last.done && age < refusedAfter:
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	err := p.g.edge.Duties.Order(ctx, fence, cloud.Count{Service: k.service, Zone: k.zone, Reclaimable: k.reclaimable, Desired: desired})
+	p.g.outcome(err)
+	p.orders[k] = order{fence: fence, desired: desired, at: time.Now(), done: err == nil}
+	if errors.Is(err, cloud.ErrNotDone) && k.reclaimable {
+		p.dry[k] = time.Now()
+	}
+	p.g.log.Info("endpoints_ordered", "service", k.service, "zone", k.zone, "reclaimable", k.reclaimable,
+		"desired", desired, "present", present, "fence", fence, "error", err)
+}
--- /dev/null
+++ b/internal/process/gateway/register.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
+	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
+	"github.com/dandelionlift/dandelionlift/internal/process/mirror"
+	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
+)
+
+const (
+	// hostTTL is how long a host stays in the store without a renewal. It only
+	// has to be found by hosts that start; who lives is told by reports.
+	hostTTL      = 60 * time.Second
+	hostKeep     = 20 * time.Second
+	registerSoon = time.Second
+)
+
+// runRegister names this host in the store, and learns of the others there.
+func (g *Gateway) runRegister(ctx context.Context) error {
+	for ctx.Err() == nil {
+		lease, err := g.register(ctx)
+		if err != nil {
+			g.log.Info("host_not_registered", "error", err)
+			pause.For(ctx, registerSoon)
+			continue
+		}
+		for pause.For(ctx, hostKeep) {
+			if errors.Is(g.edge.Store.Keep(ctx, lease), keyvalue.ErrNoLease) {
+				break
+			}
+		}
+	}
+	return nil
+}
+
+// register writes the host's key before it reads those of others, so that of
+// two hosts that start at once at least one learns of the other.
+func (g *Gateway) register(ctx context.Context) (keyvalue.LeaseID, error) {
+	lease, err := g.edge.Store.Grant(ctx, hostTTL)
+	if err != nil {
+		return 0, err
+	}
+	_, err = g.edge.Store.Commit(ctx, keyvalue.Transaction{Writes: []keyvalue.Entry{
+		{Key: hostsPrefix + g.place.Address.String(), Data: []byte(g.place.Zone), Lease: lease},
+	}})
+	if err != nil {
+		return 0, err
+	}
+	listing, err := g.edge.Store.Range(ctx, hostsPrefix)
+	if err != nil {
+		return 0, err
+	}
+	for _, v := range listing.Values {
+		address, err := netip.ParseAddrPort(strings.TrimPrefix(v.Key, hostsPrefix))
+		if err != nil {
+			g.log.Warn("host_key_unreadable", "key", v.Key, "error", err)
+			continue
+		}
+		g.neighbours.Know(address)
+	}
+	return lease, nil
+}
+
+const (
+	// copyPath is where neighbours get a host's copy of a prefix.
+	copyPath = "/copy"
+	// copyEvery is the period of looking for newer copies, copyAfter how long
+	// the store must have been away, and copyWithin bounds a call.
+	copyEvery  = 200 * time.Millisecond
+	copyAfter  = 300 * time.Millisecond
+	copyWithin = time.Second
+	copyMost   = 8 << 20
+)
+
+// Routes serves neighbours.
+func (g *Gateway) Routes(router *mux.Router) {
+	router.HandleFunc(copyPath, g.serveCopy).Methods(http.MethodGet)
+}
+
+func (g *Gateway) serveCopy(w http.ResponseWriter, r *http.Request) {
+	copied, ok := g.mirror.Copy(r.URL.Query().Get("prefix"))
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A neighbour that went away asks another one.
+	_ = json.NewEncoder(w).Encode(copied)
+}
+
+// runCopies takes neighbours' copies while the store does not answer.
+func (g *Gateway) runCopies(ctx context.Context) error {
+	client := &http.Client{Timeout: copyWithin, Transport: &http.Transport{
+		DialContext: endpoint.Dialer().DialContext, DisableKeepAlives: true,
+	}}
+	for pause.For(ctx, copyEvery) {
+		for _, prefix := range []string{g.edge.ConfigurationKey, g.edge.EndpointPrefix} {
+			if h, ok := g.newer(prefix); ok {
+				g.takeCopy(ctx, client, prefix, h)
+			}
+		}
+	}
+	return nil
+}
+
+// newer finds the neighbour that knows most of a prefix which the store does
+// not answer for.
+func (g *Gateway) newer(prefix string) (neighbour.Heard, bool) {
+	since, failing := g.mirror.Failing(prefix)
+	if !failing && g.mirror.Loaded(prefix) || failing && time.Since(since) < copyAfter {
+		return neighbour.Heard{}, false
+	}
+	var best neighbour.Heard
+	own := g.mirror.AsOf(prefix)
+	for _, h := range *g.live.Load() {
+		if h.Revisions[prefix] > own {
+			best, own = h, h.Revisions[prefix]
+		}
+	}
+	return best, best.Address.IsValid()
+}
+
+func (g *Gateway) takeCopy(ctx context.Context, client *http.Client, prefix string, h neighbour.Heard) {
+	copied, err := fetch(ctx, client, h.Address, prefix)
+	if err != nil {
+		g.log.Info("copy_not_taken", "prefix", prefix, "from", h.Host, "error", err)
+		return
+	}
+	if g.mirror.Adopt(copied) {
+		g.log.Info("copy_taken", "prefix", prefix, "from", h.Host, "as_of", copied.AsOf)
+	}
+}
+
+func fetch(ctx context.Context, client *http.Client, from netip.AddrPort, prefix string) (mirror.Copy, error) {
+	var copied mirror.Copy
+	target := "http://" + from.String() + copyPath + "?prefix=" + url.QueryEscape(prefix)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return copied, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return copied, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return copied, fmt.Errorf("gateway: copy: status %d", response.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, copyMost)).Decode(&copied)
+	return copied, err
+}
+
+// Listen opens the address for neighbours.
+func Listen(address netip.AddrPort) (net.Listener, net.PacketConn, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, nil, err
+	}
+	packets, err := net.ListenPacket("udp", address.String())
+	if err != nil {
+		return nil, nil, errors.Join(err, listener.Close())
+	}
+	return listener, packets, nil
+}
--- /dev/null
+++ b/internal/process/quota/quota.go
@@ -0,0 +1,168 @@
+// Package quota holds organisations to limits that count over all entry hosts.
+//
+// # Shares
+//
+// Each host fills a bucket for each organisation at its share of the limit.
+// Shares follow the demand that hosts tell each other, with a floor, and are
+// computed from what was told, so that they add up to one where hosts hear each
+// other. A host that stops hearing others keeps to the share it had.
+//
+// # Starting empty
+//
+// A bucket starts empty but for the part of a burst that its share would have
+// gathered since the host started: what was spent by a process before it is not
+// known, and a fleet that restarts must not get its burst again.
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+const (
+	// demandWindow smooths demand; told demand follows a change within seconds.
+	demandWindow = 2 * time.Second
+	// floor is the part of an equal share that a host has whatever its demand.
+	floor = 0.25
+	// held is the part of a limit that is given out, so that shares which
+	// disagree for a moment stay within it.
+	held = 0.94
+	// burstHeld is the same for a burst, which is a limit's smaller part.
+	burstHeld = 0.5
+	// largest is the part of a full bucket that a call must find before it may
+	// go into debt.
+	largest = 0.5
+)
+
+// Told is the demand of one other host, in units a second.
+type Told map[identity.Organisation]float64
+
+// Quota is one host's view. Make one with New.
+type Quota struct {
+	mu      sync.Mutex
+	buckets map[identity.Organisation]*bucket
+}
+
+// bucket is one organisation's units on this host; it may be in debt.
+type bucket struct {
+	units float64
+	at    time.Time
+	// share is this host's part of the limit, zero to one.
+	share float64
+	// asked is the demand, which decays with demandWindow.
+	asked   float64
+	askedAt time.Time
+}
+
+// New makes a Quota.
+func New() *Quota {
+	return &Quota{buckets: make(map[identity.Organisation]*bucket)}
+}
+
+// Take asks for units of an organisation's limit. Where they are not to be had
+// it gives the time after which they would be.
+func (q *Quota) Take(now time.Time, o *catalogue.Organisation, units float64) (wait time.Duration, ok bool) {
+	if o.Limit.PerSecond <= 0 {
+		return 0, true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.bucket(now, o)
+	b.demand(now, units)
+	full := b.fill(now, o.Limit)
+	need := min(units, full*largest)
+	if b.units < need {
+		perSecond := o.Limit.PerSecond * held * b.share
+		return time.Duration((need - b.units) / perSecond * float64(time.Second)), false
+	}
+	b.units -= units
+	return 0, true
+}
+
+// Return gives back what a call took that did not run.
+func (q *Quota) Return(o *catalogue.Organisation, units float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if b := q.buckets[o.ID]; b != nil {
+		b.units += units
+	}
+}
+
+// Demand is what callers asked for a second, refused calls included.
+func (q *Quota) Demand(now time.Time) Told {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	told := make(Told, len(q.buckets))
+	for id, b := range q.buckets {
+		b.demand(now, 0)
+		told[id] = b.asked / demandWindow.Seconds()
+	}
+	return told
+}
+
+// Share sets this host's shares: own is what it told itself, others what the
+// hosts it hears told, and hosts how many there are, heard or not.
+func (q *Quota) Share(own Told, others []Told, hosts int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	unheard := float64(max(0, hosts-1-len(others)))
+	equal := 1 / float64(max(1, hosts))
+	for id, b := range q.buckets {
+		sum := own[id]
+		for _, o := range others {
+			sum += o[id]
+		}
+		// Hosts that are not heard keep an equal share each.
+		open := 1 - unheard*equal
+		part := equal / max(equal, open)
+		if sum > 0 {
+			part = own[id] / sum
+		}
+		b.share = open * (floor*equal/max(equal, open) + (1-floor)*part)
+	}
+}
+
+func (q *Quota) bucket(now time.Time, o *catalogue.Organisation) *bucket {
+	b := q.buckets[o.ID]
+	if b == nil {
+		b = &bucket{at: now, askedAt: now, share: q.firstShare()}
+		q.buckets[o.ID] = b
+	}
+	return b
+}
+
+// firstShare is that of an organisation that was not asked for before: as small
+// as the others' smallest, until demand was told.
+func (q *Quota) firstShare() float64 {
+	least := defaultShare
+	for _, b := range q.buckets {
+		least = min(least, b.share)
+	}
+	return least
+}
+
+// defaultShare is used before any other host was heard.
+const defaultShare = 0.1
+
+// fill brings a bucket up to now and gives what it holds when full.
+func (b *bucket) fill(now time.Time, l catalogue.Limit) float64 {
+	full := (l.PerSecond + l.Burst*burstHeld) * b.share
+	b.units = min(full, b.units+l.PerSecond*held*b.share*now.Sub(b.at).Seconds())
+	b.at = now
+	return full
+}
+
+func (b *bucket) demand(now time.Time, units float64) {
+	elapsed := now.Sub(b.askedAt).Seconds()
+	b.asked = b.asked*decay(elapsed) + units
+	b.askedAt = now
+}
+
+// decay is what is left of a mean after seconds.
+func decay(seconds float64) float64 {
+	return math.Exp(-seconds / demandWindow.Seconds())
+}
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -38,6 +38,8 @@
 	Deadline time.Time
 	// ChecksFence is false for an endpoint that obeys orders with old fences.
 	ChecksFence bool
+	// Slots is how many requests it runs at once; zero means not told.
+	Slots int
 	// Since is when this host first saw the incarnation.
 	Since time.Time
 	Load  Load
--- a/test.sh
+++ b/test.sh
@@ -27,7 +27,8 @@
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 go build -o "$out/dandelionlift" ./cmd/dandelionlift
-if ! ldd "$out/dandelionlift" | grep -q 'libc\.so'; then
+linked=$(ldd "$out/dandelionlift")
+if ! grep -q 'libc\.so' <<<"$linked"; then
 	echo 'the binary is not linked to the C library'
 	exit 1
 fi
