--- a/internal/process/command/command.go
+++ b/internal/process/command/command.go
@@ -56,7 +56,7 @@
 	if !ok {
 		return errNoSettings
 	}
-	return platform.Run(ctx, named, slog.New(slog.NewTextHandler(os.Stdout, nil)))
+	return platform.Run(ctx, named, slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelDebug})))
 }
 
 func runEntry(ctx context.Context, path string) error {
--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -138,8 +138,10 @@
 	g      *Gateway
 	memory map[identity.Service]*scaling.Memory
 	orders map[kind]order
-	dry    map[kind]time.Time
-	seen   map[identity.Incarnation]bool
+	// dry is when a service's reclaimable endpoints were last taken away in a
+	// zone, or refused.
+	dry  map[kind]time.Time
+	seen map[identity.Incarnation]bool
 }
 
 // runScaling plans and orders while this host holds the duty.
@@ -170,7 +172,9 @@
 		clear(p.orders)
 		return
 	}
-	for i, w := range scaling.Plan(s.Scaling, zones) {
+	wants := scaling.Plan(s.Scaling, zones)
+	p.g.log.Debug("scaling_planned", "service", s.ID, "zones", zones, "wants", wants)
+	for i, w := range wants {
 		p.order(ctx, kind{s.ID, w.Zone, true}, w.Reclaimable, zones[i].Reclaimable)
 		if scaling.Ready(zones[i], w) {
 			p.order(ctx, kind{s.ID, w.Zone, false}, w.Stable, zones[i].Stable)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -128,7 +128,7 @@
 	g := &Gateway{
 		place: place, bounds: bounds, edge: edge, log: log, meter: m,
 		incarnation: identity.NewIncarnation(), started: time.Now(),
-		clock: clock.New(), quota: quota.New(), group: new(errgroup.Group),
+		clock: clock.New(), quota: quota.New(time.Now()), group: new(errgroup.Group),
 		changed: make(chan struct{}, 1), told: make(chan neighbour.Report, toldMost),
 		gone: make(chan identity.Incarnation, toldMost),
 	}
@@ -220,6 +220,7 @@
 // hear hands a report to the control goroutine.
 func (g *Gateway) hear(r neighbour.Report) {
 	g.clock.Hear(r.Host, time.Unix(0, r.Wall))
+	g.usage.Hear(r.Incarnation, r.Usage)
 	select {
 	case g.told <- r:
 	default:
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -3,15 +3,17 @@
 // # Shares
 //
 // Each host fills a bucket for each organisation at its share of the limit.
-// Shares follow the demand that hosts tell each other, with a floor, and are
-// computed from what was told, so that they add up to one where hosts hear each
-// other. A host that stops hearing others keeps to the share it had.
+// Shares follow the demand that hosts tell each other: each host gets its own and
+// an equal part of what is left over, or, where more is asked for than the limit,
+// a part in proportion above a floor. Shares are computed from what was told, so
+// that they add up to one where hosts hear each other. Hosts that fell silent
+// keep an equal share.
 //
 // # Starting empty
 //
-// A bucket starts empty but for the part of a burst that its share would have
-// gathered since the host started: what was spent by a process before it is not
-// known, and a fleet that restarts must not get its burst again.
+// A bucket starts with what its share would have gathered since the host started:
+// what was spent by a process before it is not known, and a fleet that restarts
+// must not get its burst again.
 package quota
 
 import (
@@ -44,6 +46,9 @@
 // Quota is one host's view. Make one with New.
 type Quota struct {
 	mu      sync.Mutex
+	started time.Time
+	// equal is the share of a host among all.
+	equal   float64
 	buckets map[identity.Organisation]*bucket
 }
 
@@ -53,14 +58,16 @@
 	at    time.Time
 	// share is this host's part of the limit, zero to one.
 	share float64
+	// perSecond is the limit that was in force at the last call.
+	perSecond float64
 	// asked is the demand, which decays with demandWindow.
 	asked   float64
 	askedAt time.Time
 }
 
-// New makes a Quota.
-func New() *Quota {
-	return &Quota{buckets: make(map[identity.Organisation]*bucket)}
+// New makes a Quota of a host that started at a time.
+func New(started time.Time) *Quota {
+	return &Quota{started: started, equal: defaultShare, buckets: make(map[identity.Organisation]*bucket)}
 }
 
 // Take asks for units of an organisation's limit. Where they are not to be had
@@ -109,42 +116,41 @@
 func (q *Quota) Share(own Told, others []Told, hosts int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	unheard := float64(max(0, hosts-1-len(others)))
-	equal := 1 / float64(max(1, hosts))
+	heard := 1 + len(others)
+	hosts = max(hosts, heard)
+	q.equal = 1 / float64(hosts)
+	open := float64(heard) * q.equal
 	for id, b := range q.buckets {
 		sum := own[id]
 		for _, o := range others {
 			sum += o[id]
 		}
-		// Hosts that are not heard keep an equal share each.
-		open := 1 - unheard*equal
-		part := equal / max(equal, open)
-		if sum > 0 {
-			part = own[id] / sum
-		}
-		b.share = open * (floor*equal/max(equal, open) + (1-floor)*part)
+		b.share = open * part(own[id], sum, b.perSecond*held*open, heard)
+	}
+}
+
+// part is one host's part of a limit that is divided among those heard.
+func part(own, sum, limit float64, heard int) float64 {
+	equal := 1 / float64(heard)
+	if sum <= 0 || limit <= 0 {
+		return equal
 	}
+	if sum < limit {
+		return (own + (limit-sum)*equal) / limit
+	}
+	return floor*equal + (1-floor)*own/sum
 }
 
 func (q *Quota) bucket(now time.Time, o *catalogue.Organisation) *bucket {
 	b := q.buckets[o.ID]
 	if b == nil {
-		b = &bucket{at: now, askedAt: now, share: q.firstShare()}
+		b = &bucket{at: q.started, askedAt: now, share: q.equal}
 		q.buckets[o.ID] = b
 	}
+	b.perSecond = o.Limit.PerSecond
 	return b
 }
 
-// firstShare is that of an organisation that was not asked for before: as small
-// as the others' smallest, until demand was told.
-func (q *Quota) firstShare() float64 {
-	least := defaultShare
-	for _, b := range q.buckets {
-		least = min(least, b.share)
-	}
-	return least
-}
-
 // defaultShare is used before any other host was heard.
 const defaultShare = 0.1
 
