--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -108,14 +108,14 @@
 const (
 	// scaleEvery is the period of planning.
 	scaleEvery = 500 * time.Millisecond
-	// dryFor is how long a zone is taken to have no reclaimable endpoints after
-	// some were taken away or refused.
-	dryFor = 6 * time.Second
 	// repeatAfter is how long after an order that was done it is given again while
-	// fewer endpoints are there than were ordered.
-	repeatAfter = 6 * time.Second
+	// fewer endpoints are there than were ordered: more than a boot takes.
+	repeatAfter = 7 * time.Second
 	// refusedAfter is how long an order that was refused waits.
-	refusedAfter = 2 * time.Second
+	refusedAfter = 1500 * time.Millisecond
+	// fewerAfter is how long an order stands before it is lowered: what is handed
+	// back takes seconds to return.
+	fewerAfter = 4 * time.Second
 )
 
 // kind is one thing that is ordered.
@@ -138,18 +138,11 @@
 	g      *Gateway
 	memory map[identity.Service]*scaling.Memory
 	orders map[kind]order
-	// dry is when a service's reclaimable endpoints were last taken away in a
-	// zone, or refused.
-	dry  map[kind]time.Time
-	seen map[identity.Incarnation]bool
 }
 
 // runScaling plans and orders while this host holds the duty.
 func (g *Gateway) runScaling(ctx context.Context) error {
-	p := planner{
-		g: g, memory: make(map[identity.Service]*scaling.Memory), orders: make(map[kind]order),
-		dry: make(map[kind]time.Time), seen: make(map[identity.Incarnation]bool),
-	}
+	p := planner{g: g, memory: make(map[identity.Service]*scaling.Memory), orders: make(map[kind]order)}
 	for pause.For(ctx, scaleEvery) {
 		c := g.catalogue.Load()
 		if c == nil {
@@ -175,10 +168,8 @@
 	wants := scaling.Plan(s.Scaling, zones)
 	p.g.log.Debug("scaling_planned", "service", s.ID, "zones", zones, "wants", wants)
 	for i, w := range wants {
+		p.order(ctx, kind{s.ID, w.Zone, false}, w.Stable, zones[i].Stable)
 		p.order(ctx, kind{s.ID, w.Zone, true}, w.Reclaimable, zones[i].Reclaimable)
-		if scaling.Ready(zones[i], w) {
-			p.order(ctx, kind{s.ID, w.Zone, false}, w.Stable, zones[i].Stable)
-		}
 	}
 }
 
@@ -193,44 +184,49 @@
 	demand := p.g.zoneWork(s.ID)
 	byZone := make(map[identity.Zone]*scaling.Zone)
 	for zone := range p.g.place.Regions {
-		byZone[zone] = &scaling.Zone{Zone: zone, Demand: memory.Smooth(zone, demand[zone])}
+		byZone[zone] = &scaling.Zone{
+			Zone: zone, Demand: memory.Smooth(zone, demand[zone]), Ordered: p.orders[kind{s.ID, zone, true}].desired,
+		}
 	}
 	for _, e := range p.g.balancer.Fleet(s.ID) {
 		z := byZone[e.Zone]
 		switch {
-		case z == nil:
-		case e.Leaving && e.Reclaimable && !p.seen[e.Incarnation]:
-			p.seen[e.Incarnation] = true
-			p.dry[kind{s.ID, e.Zone, true}] = now
-		case e.Leaving:
+		case z == nil || e.Leaving:
 		case e.Reclaimable:
 			z.Reclaimable++
 		default:
 			z.Stable++
 		}
 	}
-	var zones []scaling.Zone
+	zones := make([]scaling.Zone, 0, len(byZone))
 	for _, z := range byZone {
-		z.Dry = now.Sub(p.dry[kind{s.ID, z.Zone, true}]) < dryFor
 		zones = append(zones, *z)
 	}
 	scaling.Sort(zones)
 	return zones
 }
 
+// due tells whether an order is to be given, by the last one of its kind.
+func (o order) due(fence identity.Fence, desired, present int) bool {
+	age := time.Since(o.at)
+	switch {
+	case o.fence != fence:
+		return true
+	case !o.done && desired >= o.desired:
+		return age >= refusedAfter
+	case o.desired == desired:
+		return present < desired && age >= repeatAfter
+	case desired < o.desired:
+		return age >= fewerAfter
+	default:
+		return true
+	}
+}
+
 // order tells the platform what is wanted, unless it was told.
 func (p *planner) order(ctx context.Context, k kind, desired, present int) {
 	fence, ok := p.g.duty.Fence()
-	if !ok {
-		return
-	}
-	last, ordered := p.orders[k]
-	age := time.Since(last.at)
-	same := ordered && last.desired == desired && last.fence == fence
-	switch {
-	case same && last.done && (present >= desired || age < repeatAfter):
-		return
-	case same && !last.done && age < refusedAfter:
+	if !ok || !p.orders[k].due(fence, desired, present) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
@@ -238,9 +234,6 @@
 	err := p.g.edge.Duties.Order(ctx, fence, cloud.Count{Service: k.service, Zone: k.zone, Reclaimable: k.reclaimable, Desired: desired})
 	p.g.outcome(err)
 	p.orders[k] = order{fence: fence, desired: desired, at: time.Now(), done: err == nil}
-	if errors.Is(err, cloud.ErrNotDone) && k.reclaimable {
-		p.dry[k] = time.Now()
-	}
 	p.g.log.Info("endpoints_ordered", "service", k.service, "zone", k.zone, "reclaimable", k.reclaimable,
 		"desired", desired, "present", present, "fence", fence, "error", err)
 }
--- a/internal/process/gateway/tell.go
+++ b/internal/process/gateway/tell.go
@@ -71,12 +71,14 @@
 
 const (
 	// workWindow smooths the demand that scaling follows.
-	workWindow = 3 * time.Second
+	workWindow = 4 * time.Second
 	// prefillPerSecond and tokenSeconds describe the users' engines, from their
 	// data sheet: prompt tokens read in a second, and the time of a step divided
 	// by the requests that usually share it.
 	prefillPerSecond = 42_600
-	tokenSeconds     = 0.00555 / 16
+	tokenSeconds     = 0.00555 / 24
+	// generatedShare is the part of the most tokens asked for that is generated.
+	generatedShare = 0.4
 )
 
 // asked counts a model call's work.
@@ -84,7 +86,7 @@
 	if c.Service.Engine == nil {
 		return
 	}
-	seconds := float64(uncached)/prefillPerSecond + float64(c.Output)*tokenSeconds
+	seconds := float64(uncached)/prefillPerSecond + generatedShare*float64(c.Output)*tokenSeconds
 	g.work.add(time.Now(), c.Service.ID, seconds)
 }
 
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -35,8 +35,10 @@
 	held = 0.94
 	// burstHeld is the same for a burst, which is a limit's smaller part.
 	burstHeld = 0.5
-	// largest is the part of a full bucket that a call must find before it may
-	// go into debt.
+	// small is how many times a call's units a full bucket must hold for the call
+	// to pass as long as the bucket isn't empty. Larger calls must find the part
+	// largest of their units or of a full bucket, since each host's debt adds up.
+	small   = 3.0
 	largest = 0.5
 )
 
@@ -81,8 +83,11 @@
 	b := q.bucket(now, o)
 	b.demand(now, units)
 	full := b.fill(now, o.Limit)
-	need := min(units, full*largest)
-	if b.units < need {
+	need := 0.0
+	if full < small*units {
+		need = min(units, full) * largest
+	}
+	if b.units < need || b.units <= 0 {
 		perSecond := o.Limit.PerSecond * held * b.share
 		return time.Duration((need - b.units) / perSecond * float64(time.Second)), false
 	}
--- a/internal/process/scaling/scaling.go
+++ b/internal/process/scaling/scaling.go
@@ -4,17 +4,19 @@
 // # Kinds
 //
 // Reclaimable endpoints cost a fraction and leave all at once, zone by zone, on
-// seconds of notice; for a while after that there are none to be had. So every
-// zone keeps a floor of endpoints that stay, reclaimable ones carry the rest,
-// and when a zone's are taken away others are ordered at once: endpoints that
-// stay in the zone, and reclaimable ones elsewhere.
+// seconds of notice; for a while after that there may be none to be had
+// anywhere. So every zone keeps a floor of endpoints that stay, and reclaimable
+// ones carry the rest and as much besides as the loss of one zone takes away.
+// What is missing all the same is made up by endpoints that stay, until
+// reclaimable ones are back.
 //
 // # Purity
 //
-// Plan is a function of its argument; what changes over time is in Zone.
+// Plan is a function of its argument; what changes over time is in Memory.
 package scaling
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -30,8 +32,8 @@
 	Demand float64
 	// Stable and Reclaimable count the endpoints that serve and don't leave.
 	Stable, Reclaimable int
-	// Dry tells that reclaimable endpoints were taken away or refused lately.
-	Dry bool
+	// Ordered is how many reclaimable endpoints were ordered last.
+	Ordered int
 }
 
 // Want is how many endpoints of each kind a zone shall have.
@@ -46,26 +48,30 @@
 	utilisation = 0.5
 	// stableFloor is how many endpoints of a zone are never reclaimed.
 	stableFloor = 1
-	// leastReclaimable keeps a zone able to serve before its demand is known.
-	leastReclaimable = 2
-	// dryShare is the part of a dry zone's need that is met there by endpoints
-	// that stay; the rest is met in other zones.
-	dryShare = 0.7
+	// leastReclaimable keeps a zone able to serve a burst; firstReclaimable serves
+	// until demand is known.
+	leastReclaimable = 3
+	firstReclaimable = 5
+	// surplus is by how many a zone's reclaimable endpoints may be too many before
+	// some are handed back: they cost little, and come late.
+	surplus = 2
+	// covered is the part of the need below which endpoints that stay make up for
+	// reclaimable ones that are missing.
+	covered = 0.85
 )
 
 // Plan gives what each zone shall have, in the order of zones.
 func Plan(s *catalogue.Scaling, zones []Zone) []Want {
 	wants := make([]Want, 0, len(zones))
-	wet, missing := 0, 0.0
-	for _, z := range zones {
-		if z.Dry {
-			missing += need(z) * (1 - dryShare)
-			continue
-		}
-		wet++
+	for i, z := range zones {
+		w := Want{Zone: z.Zone, Stable: max(stableFloor, s.Min), Reclaimable: reclaimable(zones, i)}
+		wants = append(wants, w)
 	}
-	for _, z := range zones {
-		wants = append(wants, plan(s, z, missing/float64(max(1, wet))))
+	makeUp(zones, wants)
+	for i := range wants {
+		w := &wants[i]
+		w.Stable = min(w.Stable, s.Max)
+		w.Reclaimable = max(0, min(w.Reclaimable, s.Max-w.Stable))
 	}
 	return wants
 }
@@ -73,29 +79,46 @@
 // need is how many endpoints the demand of a zone takes.
 func need(z Zone) float64 { return z.Demand / utilisation }
 
-func plan(s *catalogue.Scaling, z Zone, extra float64) Want {
-	w := Want{Zone: z.Zone, Stable: max(stableFloor, s.Min)}
-	if z.Dry {
-		w.Stable = max(w.Stable, int(math.Ceil(need(z)*dryShare)))
-		w.Reclaimable = max(z.Reclaimable, reclaimable(z, 0, 0))
-	} else {
-		w.Reclaimable = reclaimable(z, extra, stableFloor)
+// reclaimable is how many reclaimable endpoints cover a zone's need and its part
+// of the largest other zone's, beside those that stay.
+func reclaimable(zones []Zone, i int) int {
+	other, known := 0.0, false
+	for j, z := range zones {
+		known = known || z.Demand > 0
+		if j != i {
+			other = max(other, need(z))
+		}
+	}
+	if !known {
+		return max(firstReclaimable, zones[i].Ordered)
+	}
+	wanted := need(zones[i]) + other/float64(max(1, len(zones)-1)) - stableFloor
+	n := max(leastReclaimable, int(math.Ceil(wanted)))
+	if n < zones[i].Ordered && zones[i].Ordered-n <= surplus {
+		return zones[i].Ordered
 	}
-	w.Stable = min(w.Stable, s.Max)
-	w.Reclaimable = min(w.Reclaimable, s.Max-w.Stable)
-	return w
+	return n
 }
 
-// reclaimable is how many reclaimable endpoints cover a zone's need and what is
-// missing elsewhere, beside those that stay.
-func reclaimable(z Zone, extra float64, stable int) int {
-	return max(leastReclaimable, int(math.Ceil(need(z)+extra))-stable)
+// makeUp adds endpoints that stay where reclaimable ones are missing, as far as
+// the whole service falls short of its need.
+func makeUp(zones []Zone, wants []Want) {
+	short, missing := 0.0, 0.0
+	for i, z := range zones {
+		short += covered*need(z) - float64(wants[i].Stable+z.Reclaimable)
+		missing += lacking(z)
+	}
+	if short <= 0 || missing <= 0 {
+		return
+	}
+	for i, z := range zones {
+		wants[i].Stable += int(math.Ceil(short * lacking(z) / missing))
+	}
 }
 
-// Ready tells whether endpoints that stay may be handed back down to what is
-// wanted: only once the reclaimable ones that replace them serve.
-func Ready(z Zone, w Want) bool {
-	return w.Stable >= z.Stable || z.Reclaimable >= w.Reclaimable && !z.Dry
+// lacking is how far a zone's reclaimable endpoints fall short of its need.
+func lacking(z Zone) float64 {
+	return max(0, need(z)-float64(stableFloor+z.Reclaimable))
 }
 
 // Memory smooths demand: it rises at once and falls slowly.
@@ -105,7 +128,7 @@
 }
 
 // fall is the time constant with which a demand that is gone is forgotten.
-const fall = 12 * time.Second
+const fall = 8 * time.Second
 
 // Smooth gives the demand to plan for.
 func (m *Memory) Smooth(zone identity.Zone, demand float64) float64 {
@@ -129,10 +152,5 @@
 
 // Sort orders zones by name, so that plans are repeatable.
 func Sort(zones []Zone) {
-	slices.SortFunc(zones, func(a, b Zone) int {
-		if a.Zone < b.Zone {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(zones, func(a, b Zone) int { return cmp.Compare(a.Zone, b.Zone) })
 }
