process/mirror: find a deaf watch within the time a configuration may take

Ruled out: keep-alive probes, as the store's machine answers them.

TestSilentWatchAndLostHistoryCostLessThanAConfigurationMayTake fails with the wait of before.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -141,6 +141,7 @@
 	g.neighbours.Know(place.Seeds...)
 	g.mirror = mirror.New(edge.Store, edge.ConfigurationKey, edge.EndpointPrefix)
 	g.mirror.Changed, g.mirror.Lost, g.mirror.Regained, g.mirror.Log = g.wake, g.storeLost, g.storeRegained, log
+	g.mirror.Hosts = func() int { return g.neighbours.Hosts(hostsWithin) }
 	g.duty = duty.New(edge.Store, dutyKey, g.incarnation, bounds.Lease)
 	g.duty.Elsewhere, g.duty.Rank, g.duty.Log = g.heldElsewhere, g.rank, log
 	g.pool = endpoint.New(g.group)
--- a/internal/process/gateway/register.go
+++ b/internal/process/gateway/register.go
@@ -103,28 +103,29 @@
 	_ = json.NewEncoder(w).Encode(copied)
 }
 
-// runCopies takes neighbours' copies while the store does not answer.
+// runCopies catches up with neighbours that know of changes which this host
+// does not: from the store again if it answers, or else from a neighbour.
 func (g *Gateway) runCopies(ctx context.Context) error {
 	client := &http.Client{Timeout: copyWithin, Transport: &http.Transport{
 		DialContext: endpoint.Dialer().DialContext, DisableKeepAlives: true,
 	}}
+	behind := make(map[string]bool)
 	for pause.For(ctx, copyEvery) {
 		for _, prefix := range []string{g.edge.ConfigurationKey, g.edge.EndpointPrefix} {
-			if h, ok := g.newer(prefix); ok {
-				g.takeCopy(ctx, client, prefix, h)
+			h, ok := g.newer(prefix)
+			if !ok || !behind[prefix] {
+				behind[prefix] = ok
+				continue
 			}
+			g.catchUp(ctx, client, prefix, h)
 		}
 	}
 	return nil
 }
 
-// newer finds the neighbour that knows most of a prefix which the store does
-// not answer for.
+// newer finds the neighbour that knows of the newest change of a prefix, if this
+// host has not got so far.
 func (g *Gateway) newer(prefix string) (neighbour.Heard, bool) {
-	since, failing := g.mirror.Failing(prefix)
-	if !failing && g.mirror.Loaded(prefix) || failing && time.Since(since) < copyAfter {
-		return neighbour.Heard{}, false
-	}
 	var best neighbour.Heard
 	own := g.mirror.AsOf(prefix)
 	for _, h := range *g.live.Load() {
@@ -135,6 +136,17 @@
 	return best, best.Address.IsValid()
 }
 
+func (g *Gateway) catchUp(ctx context.Context, client *http.Client, prefix string, h neighbour.Heard) {
+	since, failing := g.mirror.Failing(prefix)
+	switch {
+	case failing && time.Since(since) >= copyAfter, !g.mirror.Loaded(prefix):
+		g.takeCopy(ctx, client, prefix, h)
+	case !failing:
+		g.log.Info("watch_behind", "prefix", prefix, "as_of", g.mirror.AsOf(prefix), "told", h.Revisions[prefix], "by", h.Host)
+		g.mirror.Again(prefix)
+	}
+}
+
 func (g *Gateway) takeCopy(ctx context.Context, client *http.Client, prefix string, h neighbour.Heard) {
 	copied, err := fetch(ctx, client, h.Address, prefix)
 	if err != nil {
--- a/internal/process/gateway/tell.go
+++ b/internal/process/gateway/tell.go
@@ -21,8 +21,8 @@
 	r := neighbour.Report{
 		Host: g.place.Host, Zone: g.place.Zone,
 		Revisions: map[string]keyvalue.Revision{
-			g.edge.ConfigurationKey: g.mirror.AsOf(g.edge.ConfigurationKey),
-			g.edge.EndpointPrefix:   g.mirror.AsOf(g.edge.EndpointPrefix),
+			g.edge.ConfigurationKey: g.mirror.Last(g.edge.ConfigurationKey),
+			g.edge.EndpointPrefix:   g.mirror.Last(g.edge.EndpointPrefix),
 		},
 		Demand:  demand,
 		Work:    g.work.perSecond(now),
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -27,9 +27,15 @@
 )
 
 const (
-	// watchWait is how long one watch waits: long enough that watches are few,
-	// short enough that one which hangs is found by its end.
-	watchWait = 5 * time.Second
+	// watchLeast and watchMost bound how long one watch waits. A watch that hears
+	// nothing although there are changes is found by its end only, so that the
+	// least, and a call, must pass within the time in which a configuration is to
+	// be in force.
+	watchLeast = 1500 * time.Millisecond
+	watchMost  = 4 * time.Second
+	// watchers is the number of hosts that wait for the least: one of more hosts
+	// finds a change sooner by chance, and tells the others.
+	watchers = 8
 	// retryFirst and retryMost bound the pause after a failed call; a
 	// configuration must be in force within seconds of the store's return.
 	retryFirst = 150 * time.Millisecond
@@ -58,6 +64,8 @@
 	Store keyvalue.Store
 	// Changed is told of each prefix that changed.
 	Changed func(prefix string)
+	// Hosts counts the hosts that watch the same.
+	Hosts func() int
 	// Lost and Regained are told when the store stops and starts to answer.
 	Lost     func(prefix string, err error)
 	Regained func(prefix string)
@@ -72,8 +80,12 @@
 type held struct {
 	items map[string]Item
 	asOf  keyvalue.Revision
+	// last is the revision of the newest change that is held.
+	last keyvalue.Revision
 	// loaded is set once the prefix was read whole.
 	loaded bool
+	// again ends the watch that waits, so that the next one starts.
+	again context.CancelFunc
 	// failing is when calls began to fail; zero while they don't.
 	failing time.Time
 	// answered is when the store answered last.
@@ -83,7 +95,7 @@
 // New makes a Mirror of prefixes.
 func New(store keyvalue.Store, prefixes ...string) *Mirror {
 	m := &Mirror{
-		Store: store, Changed: func(string) {}, Lost: func(string, error) {}, Regained: func(string) {},
+		Store: store, Changed: func(string) {}, Hosts: func() int { return 1 }, Lost: func(string, error) {}, Regained: func(string) {},
 		Log: slog.Default(), prefixes: prefixes, held: make(map[string]*held),
 	}
 	for _, p := range prefixes {
@@ -129,7 +141,15 @@
 	if !loaded {
 		return m.read(ctx, prefix)
 	}
-	changes, err := m.Store.Changes(ctx, prefix, after, watchWait)
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.mu.Lock()
+	h.again = cancel
+	m.mu.Unlock()
+	changes, err := m.Store.Changes(watch, prefix, after, m.wait())
+	if err != nil && watch.Err() != nil {
+		return ctx.Err()
+	}
 	if errors.Is(err, keyvalue.ErrCompacted) {
 		m.Log.Info("store_history_compacted", "prefix", prefix, "revision", after)
 		return m.read(ctx, prefix)
@@ -141,6 +161,21 @@
 	return nil
 }
 
+// wait is how long a watch waits.
+func (m *Mirror) wait() time.Duration {
+	return max(watchLeast, min(watchMost, watchLeast*time.Duration(m.Hosts())/watchers))
+}
+
+// Again starts a prefix's watch anew: another host heard of a change that this
+// one did not.
+func (m *Mirror) Again(prefix string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h := m.held[prefix]; h.again != nil {
+		h.again()
+	}
+}
+
 // read takes the whole prefix; what is not in it any more was removed.
 func (m *Mirror) read(ctx context.Context, prefix string) error {
 	listing, err := m.Store.Range(ctx, prefix)
@@ -175,6 +210,7 @@
 		return false
 	}
 	h.items[item.Key] = item
+	h.last = max(h.last, item.Revision)
 	return true
 }
 
@@ -258,6 +294,13 @@
 	return m.held[prefix].asOf
 }
 
+// Last is the revision of the newest change of a prefix that is held.
+func (m *Mirror) Last(prefix string) keyvalue.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held[prefix].last
+}
+
 // Loaded tells whether a prefix was read whole once, from whatever source.
 func (m *Mirror) Loaded(prefix string) bool {
 	m.mu.Lock()
--- a/internal/process/neighbour/neighbour.go
+++ b/internal/process/neighbour/neighbour.go
@@ -185,7 +185,7 @@
 	}
 	n.mu.Unlock()
 	if !found {
-		n.Log.Info("host_heard", "host", report.Host, "address", report.Address, "zone", report.Zone)
+		n.Log.Info("host_heard", "neighbour", report.Host, "address", report.Address, "zone", report.Zone)
 	}
 	n.Hear(report)
 }
--- a/internal/process/neighbour/report.go
+++ b/internal/process/neighbour/report.go
@@ -36,7 +36,7 @@
 	Sequence uint64 `json:"seq"`
 	// Wall is the sender's wall clock, in nanoseconds since 1970.
 	Wall int64 `json:"wall"`
-	// Revisions are how far the sender knows each mirrored prefix.
+	// Revisions are the newest change that the sender knows of each prefix.
 	Revisions map[string]keyvalue.Revision `json:"rev,omitempty"`
 	// Demand is the tokens a second that callers ask for by organisation.
 	Demand map[identity.Organisation]float64 `json:"dem,omitempty"`
