--- /dev/null
+++ b/internal/request/event/event_test.go
@@ -0,0 +1,64 @@
+package event_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/request/event"
+)
+
+func TestEventsAreGivenAsTheyCame(t *testing.T) {
+	c := qt.New(t)
+	r := event.New(strings.NewReader("id: 0\ndata: a\n\nx-version: 2\r\nid:1\r\ndata: b\r\n\r\ndata: c\n\n"))
+	for _, want := range []event.Event{
+		{ID: 0, Bytes: []byte("id: 0\ndata: a\n\n")},
+		{ID: 1, Bytes: []byte("x-version: 2\r\nid:1\r\ndata: b\r\n\r\n")},
+		{ID: -1, Bytes: []byte("data: c\n\n")},
+	} {
+		got, err := r.Next()
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.ID, qt.Equals, want.ID)
+		c.Assert(string(got.Bytes), qt.Equals, string(want.Bytes))
+	}
+	_, err := r.Next()
+	c.Assert(err, qt.Equals, io.EOF)
+}
+
+func TestHalfAnEventIsNotGiven(t *testing.T) {
+	c := qt.New(t)
+	r := event.New(strings.NewReader("id: 0\ndata: a\n\nid: 1\nda"))
+	_, err := r.Next()
+	c.Assert(err, qt.IsNil)
+	_, err = r.Next()
+	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
+}
+
+func TestAnEventIsBounded(t *testing.T) {
+	c := qt.New(t)
+	_, err := event.New(strings.NewReader(strings.Repeat("x", event.MostBytes+1))).Next()
+	c.Assert(err, qt.Equals, event.ErrTooLong)
+}
+
+// FuzzNext checks that no byte of whole events is lost, whatever the input.
+func FuzzNext(f *testing.F) {
+	f.Add("id: 0\ndata: a\n\nid: 1\n")
+	f.Add("\n\r\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := event.New(strings.NewReader(text))
+		rest := text
+		for {
+			e, err := r.Next()
+			if err != nil {
+				return
+			}
+			at := strings.Index(rest, string(e.Bytes))
+			if at < 0 || strings.Trim(rest[:at], "\r\n") != "" {
+				t.Fatalf("%q is not what follows in %q", e.Bytes, rest)
+			}
+			rest = rest[at+len(e.Bytes):]
+		}
+	})
+}
