--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -143,6 +143,7 @@
 		done <- c.write(r)
 		return nil
 	})
+	//nolint:bodyclose // The answer closes it.
 	response, err := c.read(r)
 	if err != nil {
 		stop()
--- a/internal/process/command/check.go
+++ b/internal/process/command/check.go
@@ -10,6 +10,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/standin/deployment"
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/platform"
 )
 
 func checkCommand() *cobra.Command {
@@ -24,10 +25,7 @@
 				fmt.Fprint(c.OutOrStdout(), settings.Defaults)
 				return nil
 			}
-			if path == "" {
-				return errors.New("check needs --settings FILE or --print-defaults")
-			}
-			kind, err := checkFile(path)
+			kind, err := checkNamed(path)
 			if err == nil {
 				fmt.Fprintf(c.OutOrStdout(), "ok: %s\n", kind)
 			}
@@ -39,6 +37,19 @@
 	return c
 }
 
+// checkNamed checks the file that the command line names, or else the platform's.
+func checkNamed(path string) (string, error) {
+	if path != "" {
+		return checkFile(path)
+	}
+	named, ok := platform.SettingsFile()
+	if !ok {
+		return "", errors.New("check needs --settings FILE or --print-defaults")
+	}
+	_, err := platform.ReadSettings(named)
+	return "settings of the users' platform", err
+}
+
 // checkFile takes a file for the kind that knows most of its keys.
 func checkFile(path string) (string, error) {
 	text, err := os.ReadFile(path)
--- a/internal/process/command/command.go
+++ b/internal/process/command/command.go
@@ -10,8 +10,10 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionlift/dandelionlift/internal/process/entry"
+	"github.com/dandelionlift/dandelionlift/internal/process/logline"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/standin/deployment"
 	"github.com/dandelionlift/dandelionlift/platform"
@@ -56,7 +58,13 @@
 	if !ok {
 		return errNoSettings
 	}
-	return platform.Run(ctx, named, slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	lines := logline.New(os.Stdout)
+	writing, end := context.WithCancel(context.WithoutCancel(ctx))
+	group := new(errgroup.Group)
+	group.Go(func() error { return lines.Run(writing) })
+	err := platform.Run(ctx, named, slog.New(slog.NewTextHandler(lines, nil)))
+	end()
+	return errors.Join(err, group.Wait())
 }
 
 func runEntry(ctx context.Context, path string) error {
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -141,6 +141,9 @@
 		}
 		failure = k.attempt(ctx, choice)
 		if failure == nil {
+			k.f.Log.Info("call_answered", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
+				"expected_wait", choice.Wait, "uncached", choice.Uncached, "attempts", k.tried, "last_event", k.last,
+				"after", time.Since(k.Arrived))
 			return nil
 		}
 		k.tried = append(k.tried, string(choice.Endpoint.Incarnation)+" "+string(failure.Reason)+" "+failure.Verdict.String())
@@ -222,10 +225,10 @@
 		k.kept.write(k.w)
 		return nil
 	}
-	if ctx.Err() != nil && context.Cause(ctx) != errDeadline {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline) {
 		failure = verdict.Wrap(failure.Verdict, verdict.CallerGone, context.Cause(ctx))
 	}
-	if context.Cause(ctx) == errDeadline {
+	if errors.Is(context.Cause(ctx), errDeadline) {
 		failure = verdict.Wrap(failure.Verdict, verdict.DeadlineExceeded, errDeadline)
 	}
 	failure = failure.After(k.before)
--- a/internal/request/event/event.go
+++ b/internal/request/event/event.go
@@ -79,7 +79,7 @@
 }
 
 func (r *Reader) ended(err error) error {
-	if err == io.EOF && len(r.pending) > 0 {
+	if errors.Is(err, io.EOF) && len(r.pending) > 0 {
 		return io.ErrUnexpectedEOF
 	}
 	return err
