--- /dev/null
+++ b/internal/process/clock/clock_test.go
@@ -0,0 +1,41 @@
+package clock_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/clock"
+)
+
+// A minority of wall clocks, this host's among them, jumps by seconds.
+func TestAMinorityOfWrongClocksHasNoEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := clock.New()
+		for range 40 {
+			now := time.Now()
+			k.Hear("self", now.Add(2400*time.Millisecond))
+			k.Hear("b", now.Add(-3*time.Second))
+			k.Hear("c", now)
+			k.Hear("d", now.Add(3*time.Millisecond))
+			k.Hear("e", now.Add(-3*time.Millisecond))
+			off := k.Now().Sub(now.Round(0)).Abs()
+			c.Assert(off <= 3*time.Millisecond, qt.IsTrue, qt.Commentf("%v", off))
+			time.Sleep(250 * time.Millisecond)
+		}
+	})
+}
+
+func TestAHostThatHearsNobodyKeepsTheAgreedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := clock.New()
+		k.Hear("b", time.Now().Add(time.Second))
+		c.Assert(k.Now(), qt.Equals, time.Now().Round(0).Add(time.Second))
+		time.Sleep(time.Minute)
+		c.Assert(k.Now(), qt.Equals, time.Now().Round(0).Add(time.Second))
+	})
+}
--- /dev/null
+++ b/internal/process/usage/usage_test.go
@@ -0,0 +1,52 @@
+package usage_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/usage"
+)
+
+// A host is killed: what it told before counts once, and nothing counts twice
+// when it returns as another incarnation or says the same again.
+func TestCountsOfAKilledHostAreKept(t *testing.T) {
+	c := qt.New(t)
+	const length = 5 * time.Second
+	at := time.Unix(1001, 0)
+	self, other, reborn := usage.New("a", length), usage.New("b", length), usage.New("c", length)
+	self.Began(at, "o")
+	other.Began(at, "o")
+	other.Began(at, "p")
+	self.Hear("b", other.Tell(at))
+	self.Hear("b", other.Tell(at))
+	reborn.Began(at, "o")
+	self.Hear("c", reborn.Tell(at))
+	w := self.WindowAt(at)
+	c.Assert(self.Sum(w), qt.DeepEquals, usage.Counts{"o": 3, "p": 1})
+	c.Assert(self.End(w), qt.Equals, time.Unix(1005, 0))
+}
+
+func TestALateReportDoesNotLowerCounts(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1001, 0)
+	self, other := usage.New("a", 5*time.Second), usage.New("b", 5*time.Second)
+	other.Began(at, "o")
+	early := other.Tell(at)
+	other.Began(at, "o")
+	self.Hear("b", other.Tell(at))
+	self.Hear("b", early)
+	c.Assert(self.Sum(self.WindowAt(at)), qt.DeepEquals, usage.Counts{"o": 2})
+}
+
+func TestOldWindowsAreForgottenAndPublicCallsNotCounted(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1001, 0)
+	u := usage.New("a", 5*time.Second)
+	u.Began(at, "o")
+	u.Began(at, "")
+	c.Assert(u.Sum(u.WindowAt(at)), qt.DeepEquals, usage.Counts{"o": 1})
+	u.Forget(at.Add(time.Minute))
+	c.Assert(u.Sum(u.WindowAt(at)), qt.DeepEquals, usage.Counts{})
+}
