--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -234,7 +234,7 @@
 	failure = failure.After(k.before)
 	k.f.Log.Warn("call_failed",
 		"request", k.ID, "route", k.Route.Name, "service", k.Service.ID, "reason", failure.Reason, "verdict", failure.Verdict,
-		"attempts", k.tried, "started", k.started, "last_event", k.last, "after", time.Since(k.Arrived), "error", failure.Cause)
+		"attempts", k.tried, "started", k.started, "last_event", k.last, "after", time.Since(k.Arrived), "error", failure.Why())
 	return failure
 }
 
--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -138,6 +138,15 @@
 	return text
 }
 
+// Why is the cause's message for a log line, without the stack that the cause
+// carries, or nothing.
+func (e *Error) Why() string {
+	if e.Cause == nil {
+		return ""
+	}
+	return e.Cause.Error()
+}
+
 // Unwrap gives the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
