process/scaling: before demand is known, keep what the operators took to be enough

Endpoints that left were told in circles: each host forgot them after 30 s and learnt them again.

Change: four fifths of the initial endpoints are ordered reclaimable until demand is known; what leaves is learnt only of endpoints that are known here.

--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -191,11 +191,12 @@
 	g.log.Info("endpoint_leaving", "endpoint", id, "source", source, "version", version)
 }
 
-// learnLeaving takes what a neighbour knows to leave.
+// learnLeaving takes what a neighbour knows to leave, of the endpoints that are
+// known here: of others nothing is to be done, and they would be told in circles.
 func (g *Gateway) learnLeaving(r neighbour.Report) {
 	changed := false
 	for _, id := range r.Leaving {
-		if _, known := g.control.leaving[id]; !known {
+		if _, known := g.control.leaving[id]; !known && g.named(id) {
 			g.leave(time.Now(), id, string(r.Host), r.Sequence)
 			changed = true
 		}
--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -138,11 +138,13 @@
 	g      *Gateway
 	memory map[identity.Service]*scaling.Memory
 	orders map[kind]order
+	// initial is how many endpoints each zone had when it was first seen.
+	initial map[kind]int
 }
 
 // runScaling plans and orders while this host holds the duty.
 func (g *Gateway) runScaling(ctx context.Context) error {
-	p := planner{g: g, memory: make(map[identity.Service]*scaling.Memory), orders: make(map[kind]order)}
+	p := planner{g: g, memory: make(map[identity.Service]*scaling.Memory), orders: make(map[kind]order), initial: make(map[kind]int)}
 	for pause.For(ctx, scaleEvery) {
 		c := g.catalogue.Load()
 		if c == nil {
@@ -200,6 +202,11 @@
 	}
 	zones := make([]scaling.Zone, 0, len(byZone))
 	for _, z := range byZone {
+		k := kind{service: s.ID, zone: z.Zone}
+		if p.initial[k] == 0 {
+			p.initial[k] = z.Stable + z.Reclaimable
+		}
+		z.Initial = p.initial[k]
 		zones = append(zones, *z)
 	}
 	scaling.Sort(zones)
--- a/internal/process/scaling/scaling.go
+++ b/internal/process/scaling/scaling.go
@@ -34,6 +34,9 @@
 	Stable, Reclaimable int
 	// Ordered is how many reclaimable endpoints were ordered last.
 	Ordered int
+	// Initial is how many endpoints there were when the zone was first seen: what
+	// the operators took to be enough.
+	Initial int
 }
 
 // Want is how many endpoints of each kind a zone shall have.
@@ -48,10 +51,11 @@
 	utilisation = 0.5
 	// stableFloor is how many endpoints of a zone are never reclaimed.
 	stableFloor = 1
-	// leastReclaimable keeps a zone able to serve a burst; firstReclaimable serves
-	// until demand is known.
+	// leastReclaimable keeps a zone able to serve a burst.
 	leastReclaimable = 3
-	firstReclaimable = 5
+	// firstShare is the part of the initial endpoints that are reclaimable ones
+	// until demand is known.
+	firstShare = 0.8
 	// surplus is by how many a zone's reclaimable endpoints may be too many before
 	// some are handed back: they cost little, and come late.
 	surplus = 2
@@ -90,7 +94,8 @@
 		}
 	}
 	if !known {
-		return max(firstReclaimable, zones[i].Ordered)
+		first := int(math.Ceil(firstShare * float64(zones[i].Initial)))
+		return max(leastReclaimable, first, zones[i].Ordered)
 	}
 	wanted := need(zones[i]) + other/float64(max(1, len(zones)-1)) - stableFloor
 	n := max(leastReclaimable, int(math.Ceil(wanted)))
