--- a/internal/process/scaling/scaling.go
+++ b/internal/process/scaling/scaling.go
@@ -53,9 +53,9 @@
 	stableFloor = 1
 	// leastReclaimable keeps a zone able to serve a burst.
 	leastReclaimable = 3
-	// firstShare is the part of the initial endpoints that are reclaimable ones
-	// until demand is known.
-	firstShare = 0.8
+	// firstShare is how many reclaimable endpoints are ordered for each initial one
+	// until demand is known: caches are cold, and all prompts are read whole.
+	firstShare = 1.2
 	// surplus is by how many a zone's reclaimable endpoints may be too many before
 	// some are handed back: they cost little, and come late.
 	surplus = 2
