--- a/internal/process/neighbour/neighbour.go
+++ b/internal/process/neighbour/neighbour.go
@@ -406,7 +406,10 @@
 	count := 1
 	for _, p := range n.known {
 		_, summed := n.zones[p.zone]
-		if time.Since(p.at) <= within && !(n.zoned && summed) {
+		if n.zoned && summed {
+			continue
+		}
+		if time.Since(p.at) <= within {
 			count++
 		}
 	}
