--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -183,6 +183,10 @@
 // Catalogue is the configuration in force, or nil before there is one.
 func (g *Gateway) Catalogue() *catalogue.Catalogue { return g.catalogue.Load() }
 
+// Endpoints lists the endpoints that are believed in now, those that leave among
+// them.
+func (g *Gateway) Endpoints() []fleet.Endpoint { return *g.fleet.Load() }
+
 // Forwarder serves calls.
 func (g *Gateway) Forwarder() *forward.Forwarder { return g.forwarder }
 
