--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -90,7 +90,9 @@
 func (s *store) store() keyvalue.Store {
 	return keyvalue.Store{
 		Range: s.list, Changes: s.watch,
-		Get:    func(context.Context, string) (keyvalue.Value, error) { return keyvalue.Value{}, keyvalue.ErrUnavailable },
+		Get: func(context.Context, string) (keyvalue.Value, error) {
+			return keyvalue.Value{}, keyvalue.ErrUnavailable
+		},
 		Grant:  func(context.Context, time.Duration) (keyvalue.LeaseID, error) { return 1, nil },
 		Keep:   func(context.Context, keyvalue.LeaseID) error { return nil },
 		Commit: func(context.Context, keyvalue.Transaction) (keyvalue.Revision, error) { return 1, nil },
--- /dev/null
+++ b/internal/process/neighbour/datagram.go
@@ -0,0 +1,38 @@
+package neighbour
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"io"
+)
+
+// encode gives a report as compressed JSON.
+func encode(report Report) ([]byte, error) {
+	data, err := json.Marshal(report)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err = w.Write(data); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return out.Bytes(), err
+}
+
+// reportMost bounds a report that is read.
+const reportMost = 1 << 20
+
+// decode reads what encode gives.
+func decode(data []byte) (Report, error) {
+	var report Report
+	r := flate.NewReader(bytes.NewReader(data))
+	defer r.Close()
+	err := json.NewDecoder(io.LimitReader(r, reportMost)).Decode(&report)
+	return report, err
+}
--- a/internal/process/neighbour/neighbour.go
+++ b/internal/process/neighbour/neighbour.go
@@ -20,13 +20,9 @@
 package neighbour
 
 import (
-	"bytes"
 	"cmp"
-	"compress/flate"
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -146,19 +142,15 @@
 	n.seq++
 	report.Sequence, report.Incarnation, report.Address, report.Zone = n.seq, n.inc, n.self, n.zone
 	report.Goodbye = goodbye
+	report.Known = n.sample()
 	near, far := n.targets()
-	relay := n.relay()
 	zone := n.liveIn(n.zone)
-	report.Known = n.sample()
-	if relay && n.seq%zonesEvery == 0 {
-		for _, h := range n.zones {
-			if time.Since(h.At) < zoneLiveFor {
-				report.Zones = append(report.Zones, h.Report)
-			}
-		}
+	speaks := n.relay() && n.seq%zonesEvery == 0
+	if speaks {
+		report.Zones = n.passedOn()
 	}
 	n.mu.Unlock()
-	if relay && n.seq%zonesEvery == 0 {
+	if speaks {
 		total := sum(report, zone)
 		total.Usage = n.ZoneUsage()
 		n.write(total, far)
@@ -167,71 +159,6 @@
 	n.write(report, near)
 }
 
-// targets are the hosts that get the report, and those that get a zone's sum.
-func (n *Neighbours) targets() (near, far []netip.AddrPort) {
-	byZone := make(map[identity.Zone][]netip.AddrPort)
-	for a, p := range n.known {
-		if !n.zoned || p.zone == n.zone || p.zone == "" {
-			near = append(near, a)
-			continue
-		}
-		byZone[p.zone] = append(byZone[p.zone], a)
-	}
-	for _, list := range byZone {
-		far = append(far, n.spokesmen(list)...)
-	}
-	return near, far
-}
-
-// spokesmen picks hosts of another zone to speak to: those that speak for it, or
-// else any.
-func (n *Neighbours) spokesmen(list []netip.AddrPort) []netip.AddrPort {
-	var speaking []netip.AddrPort
-	for _, a := range list {
-		if h, ok := n.heard[a]; ok && time.Since(h.At) < zoneLiveFor {
-			speaking = append(speaking, a)
-		}
-	}
-	if len(speaking) >= relays {
-		return speaking
-	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return append(speaking, list[:min(relays, len(list))]...)
-}
-
-// relay tells whether this host speaks for its zone.
-func (n *Neighbours) relay() bool {
-	if !n.zoned {
-		return false
-	}
-	lower := 0
-	for _, h := range n.liveIn(n.zone) {
-		if h.Address.Compare(n.self) < 0 {
-			lower++
-		}
-	}
-	return lower < relays
-}
-
-// Relay tells whether this host does for its zone what one host can do for many.
-// Among few hosts each does it.
-func (n *Neighbours) Relay() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.zoned || n.relay()
-}
-
-// liveIn lists the hosts of a zone that live.
-func (n *Neighbours) liveIn(zone identity.Zone) []Heard {
-	var list []Heard
-	for _, h := range n.heard {
-		if h.Zone == zone && h.Hosts == 0 && time.Since(h.At) <= liveFor*every {
-			list = append(list, h)
-		}
-	}
-	return list
-}
-
 // sample takes some known hosts at random.
 func (n *Neighbours) sample() []Known {
 	picked := make([]Known, 0, knownTold)
@@ -262,34 +189,6 @@
 	}
 }
 
-func encode(report Report) ([]byte, error) {
-	data, err := json.Marshal(report)
-	if err != nil {
-		return nil, err
-	}
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err = w.Write(data); err != nil {
-		return nil, err
-	}
-	err = w.Close()
-	return out.Bytes(), err
-}
-
-// reportMost bounds a report that is read.
-const reportMost = 1 << 20
-
-func decode(data []byte) (Report, error) {
-	var report Report
-	r := flate.NewReader(bytes.NewReader(data))
-	defer r.Close()
-	err := json.NewDecoder(io.LimitReader(r, reportMost)).Decode(&report)
-	return report, err
-}
-
 func (n *Neighbours) receive(ctx context.Context) error {
 	buffer := make([]byte, datagramMost)
 	for {
@@ -342,28 +241,6 @@
 	}
 }
 
-// takeSums keeps the newest sum of each other zone, and gives those that are new.
-func (n *Neighbours) takeSums(report Report) []Report {
-	list := report.Zones
-	if report.Hosts > 0 {
-		list = []Report{report}
-	}
-	var taken []Report
-	for _, s := range list {
-		before, found := n.zones[s.Zone]
-		stale := found && before.Incarnation == s.Incarnation && before.Sequence >= s.Sequence
-		if s.Zone == n.zone || stale {
-			continue
-		}
-		s.Zones = nil
-		n.zones[s.Zone] = Heard{Report: s, At: time.Now()}
-		if report.Hosts == 0 {
-			taken = append(taken, s)
-		}
-	}
-	return taken
-}
-
 // Live lists the last reports of hosts that live, this one not among them, and
 // the sums of other zones in place of their hosts'.
 func (n *Neighbours) Live() []Heard {
@@ -387,16 +264,6 @@
 	return list
 }
 
-func (n *Neighbours) liveZones() []Heard {
-	var list []Heard
-	for _, h := range n.zones {
-		if time.Since(h.At) <= zoneLiveFor {
-			list = append(list, h)
-		}
-	}
-	return list
-}
-
 // Hosts counts this host and those that were heard or learnt of within a while,
 // by themselves or in a zone's sum. A host that hears nobody thus does not take
 // itself for the only one.
