connection/endpoint: wait for the writer before a connection is given up

Ruled out: the endpoint, which kept the connection, and bytes left over.

Change: the end of an answer waits up to 50 ms for the writer; only an answer that came before its request was read waits so long.

--- a/internal/connection/endpoint/body.go
+++ b/internal/connection/endpoint/body.go
@@ -9,6 +9,11 @@
 	"time"
 )
 
+// writeSettle is how long the end of an answer waits for its request's writer to
+// report: an endpoint that read it whole has answered, but the writer may not have
+// run since.
+const writeSettle = 50 * time.Millisecond
+
 // keepAliveMargin is taken off the idle time that an endpoint states in whole
 // seconds, for the way there.
 const keepAliveMargin = 500 * time.Millisecond
@@ -52,10 +57,13 @@
 
 // reusable tells whether exactly one request and one answer have passed.
 func (b *body) reusable() bool {
+	if !b.ended || b.response.Close || b.conn.foreign || b.conn.reader.Buffered() > 0 {
+		return false
+	}
 	select {
 	case err := <-b.wrote:
-		return err == nil && b.ended && !b.response.Close && !b.conn.foreign && b.conn.reader.Buffered() == 0
-	default:
+		return err == nil
+	case <-time.After(writeSettle):
 		return false
 	}
 }
