process/balance, mirror, gateway: drop what nothing reads

Change: the standard pieces are called, the dead state is gone, and addresses are compared as they are. No behaviour changes and no test is touched.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -16,9 +16,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
@@ -94,7 +97,7 @@
 	for _, e := range endpoints {
 		s := b.endpoints[e.Incarnation]
 		if s == nil || s.endpoint.Since != e.Since {
-			s = &state{hash: hashText(string(e.Incarnation)), parts: make(map[uint64]time.Time)}
+			s = &state{hash: xxh3.HashString(string(e.Incarnation)), parts: make(map[uint64]time.Time)}
 		}
 		s.endpoint = e
 		next[e.Incarnation] = s
@@ -162,7 +165,7 @@
 	best, found := Choice{}, false
 	lowest := 0.0
 	for _, s := range b.services[ask.Service.ID] {
-		if s.endpoint.Leaving || contains(ask.Avoid, s.endpoint.Incarnation) {
+		if s.endpoint.Leaving || slices.Contains(ask.Avoid, s.endpoint.Incarnation) {
 			continue
 		}
 		choice := b.estimate(now, s, ask, s == preferred)
@@ -175,15 +178,6 @@
 	return best, found
 }
 
-func contains(list []identity.Incarnation, id identity.Incarnation) bool {
-	for _, i := range list {
-		if i == id {
-			return true
-		}
-	}
-	return false
-}
-
 // estimate says how long a call would wait at an endpoint.
 func (b *Balancer) estimate(now time.Time, s *state, ask Ask, preferred bool) Choice {
 	running := s.own.Running + s.others.Running
--- a/internal/process/balance/use.go
+++ b/internal/process/balance/use.go
@@ -4,9 +4,6 @@
 	"math/bits"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
-	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 	"github.com/dandelionlift/dandelionlift/internal/version/unit"
 )
 
@@ -75,7 +72,7 @@
 	u.s.own.Held -= u.ask.Prompt + u.ask.Output
 	switch result {
 	case Succeeded:
-		u.s.succeeded(now)
+		u.s.succeeded()
 	case Failed:
 		u.s.failed(now, 1)
 	case Unreachable:
@@ -100,16 +97,6 @@
 	}
 }
 
-// Under counts this host's calls at an endpoint.
-func (b *Balancer) Under(id identity.Incarnation) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s := b.endpoints[id]; s != nil {
-		return s.own.Running
-	}
-	return 0
-}
-
 // forget drops what was cached by an endpoint that may have restarted.
 func (s *state) forget() { clear(s.parts) }
 
@@ -143,7 +130,7 @@
 	fullMillis = 1000.0
 )
 
-func (h *health) succeeded(time.Time) {
+func (h *health) succeeded() {
 	h.score -= h.score / smoothing
 	h.inARow = 0
 }
@@ -186,5 +173,3 @@
 	high, low := bits.Mul64(x+0x9e3779b97f4a7c15, 0xd6e8feb86659fd93)
 	return high ^ low
 }
-
-func hashText(text string) uint64 { return xxh3.HashString(text) }
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -277,11 +278,11 @@
 func (g *Gateway) sweep(now time.Time) bool {
 	g.balancer.Sweep(now)
 	g.usage.Forget(g.clock.Now())
-	addresses := make(map[string]bool)
+	kept := make(map[netip.AddrPort]bool)
 	for _, e := range *g.fleet.Load() {
-		addresses[e.Address.String()] = true
+		kept[e.Address] = true
 	}
-	g.sweepPool(now, addresses)
+	g.pool.Sweep(now, func(a netip.AddrPort) bool { return kept[a] })
 	changed := false
 	for id, since := range g.control.leaving {
 		if now.Sub(since) > leavingTold && !g.named(id) {
--- a/internal/process/gateway/tell.go
+++ b/internal/process/gateway/tell.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -131,11 +130,6 @@
 	return told
 }
 
-// sweepPool closes connections to endpoints that are gone.
-func (g *Gateway) sweepPool(now time.Time, kept map[string]bool) {
-	g.pool.Sweep(now, func(a netip.AddrPort) bool { return kept[a.String()] })
-}
-
 // zoneWork sums the work that callers of each zone ask for.
 func (g *Gateway) zoneWork(service identity.Service) map[identity.Zone]float64 {
 	sum := map[identity.Zone]float64{g.place.Zone: g.work.perSecond(time.Now())[service]}
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -97,8 +97,6 @@
 	again context.CancelFunc
 	// failing is when calls began to fail; zero while they don't.
 	failing time.Time
-	// answered is when the store answered last.
-	answered time.Time
 }
 
 // New makes a Mirror of prefixes.
@@ -199,7 +197,7 @@
 	for _, v := range listing.Values {
 		c.Items = append(c.Items, Item{Key: v.Key, Data: v.Data, Revision: v.Revision})
 	}
-	m.adopt(c, true)
+	m.adopt(c)
 	return nil
 }
 
@@ -236,12 +234,12 @@
 	if older {
 		return false
 	}
-	m.adopt(c, false)
+	m.adopt(c)
 	return true
 }
 
 // adopt merges a whole copy. Keys that it lacks were removed by its revision.
-func (m *Mirror) adopt(c Copy, whole bool) {
+func (m *Mirror) adopt(c Copy) {
 	m.mu.Lock()
 	h := m.held[c.Prefix]
 	changed := false
@@ -258,9 +256,6 @@
 	first := !h.loaded
 	h.loaded = true
 	h.asOf = max(h.asOf, c.AsOf)
-	if whole {
-		h.answered = time.Now()
-	}
 	m.mu.Unlock()
 	if changed || first {
 		m.Changed(c.Prefix)
@@ -285,7 +280,6 @@
 	h := m.held[prefix]
 	again := !h.failing.IsZero()
 	h.failing = time.Time{}
-	h.answered = time.Now()
 	m.mu.Unlock()
 	if again {
 		m.Regained(prefix)
