process/scaling: replace a fleet that starts one for one

It took what it saw first for what the operators began with, ordered 3 reclaimable endpoints a zone for it and handed back all but one that stay: 90 endpoints became 24 eleven seconds before traffic, and the first calls shrank them further.

Change: what is there first is the most that was seen until demand is known; endpoints that stay are handed back once the fleet has stopped growing, as far as reclaimable ones serve in their place; the first calls don't shrink the fleet. An order that changes nothing isn't given.

--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -138,7 +138,7 @@
 	g      *Gateway
 	memory map[identity.Service]*scaling.Memory
 	orders map[kind]order
-	// initial is how many endpoints each zone had when it was first seen.
+	// initial is the largest First of each zone until demand was known.
 	initial map[kind]int
 }
 
@@ -162,15 +162,20 @@
 
 // step plans one service; a host that does not hold the duty only looks on.
 func (p *planner) step(ctx context.Context, s *catalogue.Service, holds bool) {
-	zones := p.zones(time.Now(), s)
+	now := time.Now()
+	zones := p.zones(now, s)
+	memory := p.memory[s.ID]
 	if !holds {
 		clear(p.orders)
 		return
 	}
-	wants := scaling.Plan(s.Scaling, zones)
+	settled := memory.Settled(now)
+	wants := scaling.Plan(s.Scaling, zones, memory.Known(now))
 	p.g.log.Debug("scaling_planned", "service", s.ID, "zones", zones, "wants", wants)
 	for i, w := range wants {
-		p.order(ctx, kind{s.ID, w.Zone, false}, w.Stable, zones[i].Stable)
+		if settled {
+			p.order(ctx, kind{s.ID, w.Zone, false}, w.Stable, zones[i].Stable)
+		}
 		p.order(ctx, kind{s.ID, w.Zone, true}, w.Reclaimable, zones[i].Reclaimable)
 	}
 }
@@ -190,6 +195,7 @@
 			Zone: zone, Demand: memory.Smooth(zone, demand[zone]), Ordered: p.orders[kind{s.ID, zone, true}].desired,
 		}
 	}
+	stable := 0
 	for _, e := range p.g.balancer.Fleet(s.ID) {
 		z := byZone[e.Zone]
 		switch {
@@ -198,13 +204,15 @@
 			z.Reclaimable++
 		default:
 			z.Stable++
+			stable++
 		}
 	}
+	memory.Seen(now, stable)
 	zones := make([]scaling.Zone, 0, len(byZone))
 	for _, z := range byZone {
 		k := kind{service: s.ID, zone: z.Zone}
-		if p.initial[k] == 0 {
-			p.initial[k] = z.Stable + z.Reclaimable
+		if !memory.Known(now) {
+			p.initial[k] = max(p.initial[k], scaling.First(z.Stable, z.Reclaimable))
 		}
 		z.Initial = p.initial[k]
 		zones = append(zones, *z)
@@ -218,7 +226,7 @@
 	age := time.Since(o.at)
 	switch {
 	case o.fence != fence:
-		return true
+		return desired != present
 	case !o.done && desired >= o.desired:
 		return age >= refusedAfter
 	case o.desired == desired:
--- a/internal/process/scaling/scaling.go
+++ b/internal/process/scaling/scaling.go
@@ -7,6 +7,8 @@
 // seconds of notice; for a while after that there may be none to be had
 // anywhere. So every zone keeps a floor of endpoints that stay, and reclaimable
 // ones carry the rest and as much besides as the loss of one zone takes away.
+// Endpoints that stay are handed back as reclaimable ones serve in their place,
+// not as these are ordered.
 // What is missing all the same is made up by endpoints that stay, until
 // reclaimable ones are back.
 //
@@ -34,11 +36,16 @@
 	Stable, Reclaimable int
 	// Ordered is how many reclaimable endpoints were ordered last.
 	Ordered int
-	// Initial is how many endpoints there were when the zone was first seen: what
-	// the operators took to be enough.
+	// Initial is how many reclaimable endpoints stand for those that the operators
+	// began with, which they took to be enough.
 	Initial int
 }
 
+// First gives Zone's Initial where a fleet began with so many endpoints.
+func First(stable, reclaimable int) int {
+	return max(reclaimable, int(math.Ceil(firstShare*float64(stable))))
+}
+
 // Want is how many endpoints of each kind a zone shall have.
 type Want struct {
 	Zone                identity.Zone
@@ -53,9 +60,12 @@
 	stableFloor = 1
 	// leastReclaimable keeps a zone able to serve a burst.
 	leastReclaimable = 3
-	// firstShare is how many reclaimable endpoints are ordered for each initial one
+	// firstShare is how many reclaimable endpoints are ordered for each that stays
 	// until demand is known: caches are cold, and all prompts are read whole.
 	firstShare = 1.2
+	// demandKnown is how long after the first call demand is told by calls: the
+	// first ones wait, come in bursts, and find cold caches.
+	demandKnown = 4 * time.Second
 	// surplus is by how many a zone's reclaimable endpoints may be too many before
 	// some are handed back: they cost little, and come late.
 	surplus = 2
@@ -64,11 +74,18 @@
 	covered = 0.85
 )
 
-// Plan gives what each zone shall have, in the order of zones.
-func Plan(s *catalogue.Scaling, zones []Zone) []Want {
+// Plan gives what each zone shall have, in the order of zones. Unless demand is
+// known, there are at least as many as at first.
+func Plan(s *catalogue.Scaling, zones []Zone, known bool) []Want {
 	wants := make([]Want, 0, len(zones))
 	for i, z := range zones {
 		w := Want{Zone: z.Zone, Stable: max(stableFloor, s.Min), Reclaimable: reclaimable(zones, i)}
+		cover := int(math.Ceil(need(z)))
+		if !known {
+			w.Reclaimable = max(w.Reclaimable, z.Initial)
+			cover = max(cover, z.Initial)
+		}
+		w.Stable = max(w.Stable, min(z.Stable, cover-z.Reclaimable))
 		wants = append(wants, w)
 	}
 	makeUp(zones, wants)
@@ -86,17 +103,12 @@
 // reclaimable is how many reclaimable endpoints cover a zone's need and its part
 // of the largest other zone's, beside those that stay.
 func reclaimable(zones []Zone, i int) int {
-	other, known := 0.0, false
+	other := 0.0
 	for j, z := range zones {
-		known = known || z.Demand > 0
 		if j != i {
 			other = max(other, need(z))
 		}
 	}
-	if !known {
-		first := int(math.Ceil(firstShare * float64(zones[i].Initial)))
-		return max(leastReclaimable, first, zones[i].Ordered)
-	}
 	wanted := need(zones[i]) + other/float64(max(1, len(zones)-1)) - stableFloor
 	n := max(leastReclaimable, int(math.Ceil(wanted)))
 	if n < zones[i].Ordered && zones[i].Ordered-n <= surplus {
@@ -130,16 +142,45 @@
 type Memory struct {
 	held map[identity.Zone]float64
 	at   time.Time
+	// first is when there was demand first; most is how many endpoints that stay
+	// there were at most, and grew when they became so many.
+	first, grew time.Time
+	most        int
+}
+
+// settle is how long a fleet that starts must not have grown to be taken to be
+// there whole: longer than endpoints take from one sign of life to the next.
+const settle = 1500 * time.Millisecond
+
+// Seen takes how many endpoints that stay there are.
+func (m *Memory) Seen(now time.Time, stable int) {
+	if stable > m.most {
+		m.most, m.grew = stable, now
+	}
+}
+
+// Settled tells whether endpoints that stay can be handed back: before there is
+// demand, a part of the fleet may not have been seen yet.
+func (m *Memory) Settled(now time.Time) bool {
+	return !m.first.IsZero() || m.most > 0 && now.Sub(m.grew) >= settle
+}
+
+// Known tells whether demand can be told by calls.
+func (m *Memory) Known(now time.Time) bool {
+	return !m.first.IsZero() && now.Sub(m.first) >= demandKnown
 }
 
 // fall is the time constant with which a demand that is gone is forgotten.
 const fall = 8 * time.Second
 
-// Smooth gives the demand to plan for.
+// Smooth gives the demand to plan for, at the time of the last Pass.
 func (m *Memory) Smooth(zone identity.Zone, demand float64) float64 {
 	if m.held == nil {
 		m.held = make(map[identity.Zone]float64)
 	}
+	if demand > 0 && m.first.IsZero() {
+		m.first = m.at
+	}
 	m.held[zone] = max(demand, m.held[zone])
 	return m.held[zone]
 }
