process/forward: charge the retry budget for what reached an endpoint

A connection that is refused was charged like a retry, so hosts with three or four retries in hand had none left: 93 calls ended in the same second with "connection refused" as their last word (log at 4.41 s).

Ruled out: the number of sendings (two of four), the deadline, the route's attempts.

Change: a sending that reached no endpoint gives its charge back, and a call that no endpoint got yet is sent again without one: the bound is on arrivals.

TestEndpointsThatCannotBeReachedCostNoRetry fails before.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -34,6 +34,7 @@
 	use := k.f.balancer.Start(time.Now(), choice, k.ask)
 	k.sends++
 	result, failure := k.exchange(ctx, choice, use, silence)
+	k.account(result)
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
 		result = balance.Abandoned
 	}
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -84,8 +84,11 @@
 	w http.ResponseWriter
 	// ask is what the balancer is asked; tried endpoints are avoided.
 	ask balance.Ask
-	// sends counts sendings, runs those that may have run.
-	sends, runs int
+	// sends counts sendings, reached those that an endpoint may have got, and runs
+	// those that may have run.
+	sends, reached, runs int
+	// paid is set while the sending under way was paid from the retry budget.
+	paid bool
 	// before is the verdict over all attempts so far.
 	before verdict.Verdict
 	// started is set once the caller was sent the head of an answer.
@@ -211,11 +214,31 @@
 	if failure.Verdict != verdict.NotRun && (!k.Route.MayRepeat() || k.runs >= k.Route.Attempts) {
 		return false
 	}
-	if !k.f.budget.Take(time.Now(), k.Service.ID) {
+	return k.pay()
+}
+
+// pay charges the retry budget for sending a call again, unless no endpoint got it.
+func (k *work) pay() bool {
+	if k.reached == 0 {
+		return true
+	}
+	k.paid = k.f.budget.Take(time.Now(), k.Service.ID)
+	if !k.paid {
 		k.f.meter.Refused(verdict.RetryBudget)
-		return false
 	}
-	return true
+	return k.paid
+}
+
+// account notes whether a sending reached its endpoint; one that did not is not
+// charged.
+func (k *work) account(result balance.Result) {
+	switch {
+	case result != balance.Unreachable:
+		k.reached++
+	case k.paid:
+		k.f.budget.Return(time.Now(), k.Service.ID)
+	}
+	k.paid = false
 }
 
 // finish ends a call without success: with an endpoint's failure that was kept,
--- a/internal/process/forward/forward_test.go
+++ b/internal/process/forward/forward_test.go
@@ -37,6 +37,12 @@
 }
 
 func newWorld(c *qt.C, handlers ...http.HandlerFunc) *world {
+	return newWorldWithin(c, retry.Limits{Ratio: 0.2, Slack: 100, Window: time.Second}, handlers...)
+}
+
+// newWorldWithin makes a world with a retry budget; a nil handler is an endpoint
+// that crashed.
+func newWorldWithin(c *qt.C, limits retry.Limits, handlers ...http.HandlerFunc) *world {
 	w := new(world)
 	b := balance.New("z", func(identity.Zone) identity.Region { return "r" })
 	var list []fleet.Endpoint
@@ -49,6 +55,9 @@
 			handler(out, in)
 		}))
 		c.Cleanup(server.Close)
+		if handler == nil {
+			server.Close()
+		}
 		// The first has the most places, and is chosen first.
 		list = append(list, fleet.Endpoint{
 			Host: identity.Host(name), Incarnation: identity.Incarnation(name), Service: "s", Zone: zoneOf(i), Slots: 8,
@@ -56,7 +65,7 @@
 		})
 	}
 	b.SetFleet(list)
-	budget := retry.New(retry.Limits{Ratio: 0.2, Slack: 100, Window: time.Second}, func() int { return 1 })
+	budget := retry.New(limits, func() int { return 1 })
 	w.forwarder = forward.New(endpoint.New(new(errgroup.Group)), b, quota.New(time.Now()), budget, meter.New())
 	w.forwarder.Protocol = forward.Protocol{
 		Header: func(_ *forward.Call, _ fleet.Endpoint, _ time.Duration, last int64) http.Header {
@@ -109,6 +118,20 @@
 
 func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// Crash of many endpoints at once: connections that are refused are no retries, so
+// that a host without any retry to spend still finds an endpoint that lives.
+func TestEndpointsThatCannotBeReachedCostNoRetry(t *testing.T) {
+	c := qt.New(t)
+	w := newWorldWithin(c, retry.Limits{Window: time.Second}, nil, nil, answer("c"))
+	got, _, failure := w.serve(catalogue.NotRepeatable, false, 1)
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%+v", failure))
+	c.Assert(got.Body.String(), qt.Equals, "c")
+	w = newWorldWithin(c, retry.Limits{Window: time.Second}, refuse, answer("b"))
+	_, _, failure = w.serve(catalogue.NotRepeatable, false, 1)
+	c.Assert(failure.Verdict, qt.Equals, verdict.NotRun, qt.Commentf("a refusal by an endpoint is charged"))
+	c.Assert(w.sent(), qt.Equals, "a")
+}
+
 func TestARefusedCallGoesElsewhere(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(c, refuse, answer("b"))
--- a/internal/process/retry/retry.go
+++ b/internal/process/retry/retry.go
@@ -68,6 +68,14 @@
 	return true
 }
 
+// Return gives back what was taken for a sending that reached no endpoint.
+func (b *Budget) Return(now time.Time, service identity.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(now, service)
+	a.tokens = min(b.most(a), a.tokens+1)
+}
+
 // share is what one host may send again in a window besides the ratio.
 func (b *Budget) share() float64 { return b.limits.Slack * used / float64(max(1, b.hosts())) }
 
