process/scaling: share the demand of all zones

Change: zones share the demand evenly, and it is trusted after ten seconds.

TestZonesShareTheDemandOfAll fails before.

--- a/internal/process/scaling/scaling.go
+++ b/internal/process/scaling/scaling.go
@@ -63,9 +63,9 @@
 	// firstShare is how many reclaimable endpoints are ordered for each that stays
 	// until demand is known: caches are cold, and all prompts are read whole.
 	firstShare = 1.2
-	// demandKnown is how long after the first call demand is told by calls: the
-	// first ones wait, come in bursts, and find cold caches.
-	demandKnown = 4 * time.Second
+	// demandKnown is how long after the first call demand is told by calls: a few
+	// times the window over which it is measured.
+	demandKnown = 10 * time.Second
 	// surplus is by how many a zone's reclaimable endpoints may be too many before
 	// some are handed back: they cost little, and come late.
 	surplus = 2
@@ -78,9 +78,10 @@
 // known, there are at least as many as at first.
 func Plan(s *catalogue.Scaling, zones []Zone, known bool) []Want {
 	wants := make([]Want, 0, len(zones))
-	for i, z := range zones {
-		w := Want{Zone: z.Zone, Stable: max(stableFloor, s.Min), Reclaimable: reclaimable(zones, i)}
-		cover := int(math.Ceil(need(z)))
+	need := share(zones)
+	for _, z := range zones {
+		w := Want{Zone: z.Zone, Stable: max(stableFloor, s.Min), Reclaimable: reclaimable(z, need, len(zones))}
+		cover := int(math.Ceil(need))
 		if !known {
 			w.Reclaimable = max(w.Reclaimable, z.Initial)
 			cover = max(cover, z.Initial)
@@ -88,7 +89,7 @@
 		w.Stable = max(w.Stable, min(z.Stable, cover-z.Reclaimable))
 		wants = append(wants, w)
 	}
-	makeUp(zones, wants)
+	makeUp(zones, wants, need)
 	for i := range wants {
 		w := &wants[i]
 		w.Stable = min(w.Stable, s.Max)
@@ -97,45 +98,46 @@
 	return wants
 }
 
-// need is how many endpoints the demand of a zone takes.
-func need(z Zone) float64 { return z.Demand / utilisation }
-
-// reclaimable is how many reclaimable endpoints cover a zone's need and its part
-// of the largest other zone's, beside those that stay.
-func reclaimable(zones []Zone, i int) int {
-	other := 0.0
-	for j, z := range zones {
-		if j != i {
-			other = max(other, need(z))
-		}
+// share is how many endpoints of each zone the demand of all takes: calls go where
+// there is room, and to where their prompts are cached, whatever their zone.
+func share(zones []Zone) float64 {
+	demand := 0.0
+	for _, z := range zones {
+		demand += z.Demand
 	}
-	wanted := need(zones[i]) + other/float64(max(1, len(zones)-1)) - stableFloor
+	return demand / utilisation / float64(max(1, len(zones)))
+}
+
+// reclaimable is how many reclaimable endpoints of a zone cover its share of the
+// need and its part of another zone's, beside those that stay.
+func reclaimable(z Zone, need float64, zones int) int {
+	wanted := need + need/float64(max(1, zones-1)) - stableFloor
 	n := max(leastReclaimable, int(math.Ceil(wanted)))
-	if n < zones[i].Ordered && zones[i].Ordered-n <= surplus {
-		return zones[i].Ordered
+	if n < z.Ordered && z.Ordered-n <= surplus {
+		return z.Ordered
 	}
 	return n
 }
 
 // makeUp adds endpoints that stay where reclaimable ones are missing, as far as
 // the whole service falls short of its need.
-func makeUp(zones []Zone, wants []Want) {
+func makeUp(zones []Zone, wants []Want, need float64) {
 	short, missing := 0.0, 0.0
 	for i, z := range zones {
-		short += covered*need(z) - float64(wants[i].Stable+z.Reclaimable)
-		missing += lacking(z)
+		short += covered*need - float64(wants[i].Stable+z.Reclaimable)
+		missing += lacking(z, need)
 	}
 	if short <= 0 || missing <= 0 {
 		return
 	}
 	for i, z := range zones {
-		wants[i].Stable += int(math.Ceil(short * lacking(z) / missing))
+		wants[i].Stable += int(math.Ceil(short * lacking(z, need) / missing))
 	}
 }
 
 // lacking is how far a zone's reclaimable endpoints fall short of its need.
-func lacking(z Zone) float64 {
-	return max(0, need(z)-float64(stableFloor+z.Reclaimable))
+func lacking(z Zone, need float64) float64 {
+	return max(0, need-float64(stableFloor+z.Reclaimable))
 }
 
 // Memory smooths demand: it rises at once and falls slowly.
--- a/internal/process/scaling/scaling_test.go
+++ b/internal/process/scaling/scaling_test.go
@@ -145,3 +145,12 @@
 	got := m.Smooth("a", 0)
 	c.Assert(got > 3 && got < 4, qt.IsTrue)
 }
+
+// Callers unevenly spread over zones: calls go where there is room, so that zones
+// need the same, whichever the calls come from.
+func TestZonesShareTheDemandOfAll(t *testing.T) {
+	c := qt.New(t)
+	for _, w := range scaling.Plan(bounds, zones(scaling.Zone{Demand: 6}, scaling.Zone{}, scaling.Zone{}), true) {
+		c.Assert(w.Reclaimable, qt.Equals, 5, qt.Commentf("%+v", w))
+	}
+}
