process/entry: take engines back at the same moment in TestReclaimSpreadsStreams

Cause of "15 moved, 16 counted": the test counted what an engine ran, took it back, and did the same with the next. A stream that went from the first to the second in between was counted twice and told once.

--- a/internal/process/entry/fixture_test.go
+++ b/internal/process/entry/fixture_test.go
@@ -151,11 +151,13 @@
 	}, endpoints))
 }
 
-// leave marks one endpoint as leaving.
-func (d *deployment) leave(i int) {
+// leave takes endpoints back at the same moment.
+func (d *deployment) leave(which ...int) {
 	s := d.snapshot.Load()
 	endpoints := append([]fleet.Endpoint(nil), s.Endpoints...)
-	endpoints[i].Leaving = true
+	for _, i := range which {
+		endpoints[i].Leaving = true
+	}
 	d.publish(endpoints)
 }
 
--- a/internal/process/entry/reclaim_test.go
+++ b/internal/process/entry/reclaim_test.go
@@ -40,8 +40,8 @@
 				running, err := d.hosts[0].server.Engine.Load(d.ctx, d.snapshot.Load().Endpoints[i].Address)
 				c.Check(err, qt.IsNil)
 				left += running.Running
-				d.leave(i)
 			}
+			d.leave(0, 1)
 		})
 		var group errgroup.Group
 		for i := range streams {
