--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -90,6 +90,7 @@
 	clock       *clock.Clock
 	mirror      *mirror.Mirror
 	balancer    *balance.Balancer
+	budget      *retry.Budget
 	quota       *quota.Quota
 	usage       *usage.Usage
 	neighbours  *neighbour.Neighbours
@@ -149,8 +150,8 @@
 	g.duty = duty.New(edge.Store, dutyKey, g.incarnation, bounds.Lease)
 	g.duty.Elsewhere, g.duty.Rank, g.duty.Log = g.heldElsewhere, g.rank, log
 	g.pool = endpoint.New(g.group)
-	budget := retry.New(bounds.Retries, func() int { return g.neighbours.Hosts(hostsWithin) })
-	g.forwarder = forward.New(g.pool, g.balancer, g.quota, budget, m)
+	g.budget = retry.New(bounds.Retries, func() int { return g.neighbours.Hosts(hostsWithin) })
+	g.forwarder = forward.New(g.pool, g.balancer, g.quota, g.budget, m)
 	g.forwarder.Protocol, g.forwarder.Log = edge.Protocol, log
 	g.forwarder.Began = func(at time.Time, id identity.Organisation) { g.usage.Began(g.clock.Now(), id) }
 	g.forwarder.Asked, g.forwarder.Gone = g.asked, g.misdirected
@@ -247,3 +248,6 @@
 	default:
 	}
 }
+
+// SetRetries replaces the bound on how often calls are sent again.
+func (g *Gateway) SetRetries(limits retry.Limits) { g.budget.SetLimits(limits) }
--- a/internal/process/retry/retry.go
+++ b/internal/process/retry/retry.go
@@ -27,10 +27,10 @@
 
 // Budget is one host's part. Make one with New.
 type Budget struct {
-	limits Limits
-	hosts  func() int
+	hosts func() int
 
 	mu       sync.Mutex
+	limits   Limits
 	services map[identity.Service]*account
 }
 
@@ -47,6 +47,13 @@
 	return &Budget{limits: limits, hosts: hosts, services: make(map[identity.Service]*account)}
 }
 
+// SetLimits replaces the bound over all hosts.
+func (b *Budget) SetLimits(limits Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = limits
+}
+
 // Called counts a caller's request, which earns a part of a retry.
 func (b *Budget) Called(now time.Time, service identity.Service) {
 	b.mu.Lock()
