process/balance: draw a few endpoints beside the homes

Cause: each host looked at all endpoints and took the one with the least expected wait, by what neighbours had told: own calls are known at once, those of other zones after up to 750 ms.

Change: where there are more than six endpoints, six are drawn at random and compared with the prompt's homes; all are looked at only if those fail.

TestHostsThatHeardTheSameDoNotHerd fails before.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -162,17 +162,52 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	homes := b.homes(ask)
-	best, found := Choice{}, false
+	best, found := b.least(now, ask, homes, b.candidates(ask, homes))
+	if !found || best.penalised {
+		best, found = b.least(now, ask, homes, b.services[ask.Service.ID])
+	}
+	return best.Choice, found
+}
+
+// candidates are a prompt's homes and some endpoints drawn at random. What is known
+// of other hosts' calls is old: if all hosts looked at all endpoints, all would send
+// to the same ones until they hear of it.
+func (b *Balancer) candidates(ask Ask, homes *homes) []*state {
+	all := b.services[ask.Service.ID]
+	if len(all) <= drawn {
+		return all
+	}
+	list := make([]*state, 0, len(homes)+drawn)
+	for _, s := range homes {
+		if s != nil {
+			list = append(list, s)
+		}
+	}
+	for range drawn {
+		list = append(list, all[rand.IntN(len(all))])
+	}
+	return list
+}
+
+// priced is a choice that is penalised for its endpoint's faults.
+type priced struct {
+	Choice
+	penalised bool
+}
+
+// least gives the choice of the least cost from a list.
+func (b *Balancer) least(now time.Time, ask Ask, homes *homes, list []*state) (best priced, found bool) {
 	lowest := 0.0
-	for _, s := range b.services[ask.Service.ID] {
+	for _, s := range list {
 		if s.endpoint.Leaving || slices.Contains(ask.Avoid, s.endpoint.Incarnation) {
 			continue
 		}
 		choice := b.estimate(now, s, ask, homes.share(s))
-		cost := float64(choice.Wait)/float64(time.Millisecond) + b.distance(s.endpoint.Zone, ask.Service) + s.penalty(now)
+		penalty := s.penalty(now)
+		cost := float64(choice.Wait)/float64(time.Millisecond) + b.distance(s.endpoint.Zone, ask.Service) + penalty
 		cost += rand.Float64() * spread
 		if !found || cost < lowest {
-			best, lowest, found = choice, cost, true
+			best, lowest, found = priced{choice, penalty > 0}, cost, true
 		}
 	}
 	return best, found
@@ -307,6 +342,8 @@
 	farModelMillis  = 40.0
 	farPlainMillis  = 45.0
 	sameRegionShare = 0.25
+	// drawn is how many endpoints are looked at beside a prompt's homes.
+	drawn = 6
 	// spread keeps hosts that know the same from choosing the same.
 	spread = 3.0
 )
--- a/internal/process/balance/balance_test.go
+++ b/internal/process/balance/balance_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
+	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
@@ -117,3 +118,23 @@
 	_, found := b.Choose(now, ask)
 	c.Assert(found, qt.IsTrue)
 }
+
+// Stale reports: hosts that heard the same of their neighbours don't all send to the
+// endpoint that was idle then.
+func TestHostsThatHeardTheSameDoNotHerd(t *testing.T) {
+	c := qt.New(t)
+	const calls, endpoints = 300, 30
+	loads := make(map[identity.Incarnation]neighbour.Load)
+	for i := 1; i < endpoints; i++ {
+		loads[identity.Incarnation(fmt.Sprint("e", i))] = neighbour.Load{Running: 3, Unread: 8_000}
+	}
+	heard := neighbour.Heard{Report: neighbour.Report{Loads: loads}}
+	taken := make(map[identity.Incarnation]int)
+	for i := range calls {
+		b := hosts(endpoints / len(places))[i%len(places)]
+		b.SetOthers([]neighbour.Heard{heard})
+		choice, _ := b.Choose(now, balance.Ask{Service: models, Prompt: 3_000, Output: 50})
+		taken[choice.Endpoint.Incarnation]++
+	}
+	c.Assert(taken["e0"] < calls/3, qt.IsTrue, qt.Commentf("%v", taken))
+}
