process/entry: use the field's terms for what a newcomer stumbles over

A comment says "disconnected" for a caller that is gone. No behaviour changes; the packages' tests pass as they were.

--- a/internal/process/command/command.go
+++ b/internal/process/command/command.go
@@ -74,7 +74,7 @@
 	}
 	log := newLog(s.LogLevel).With("host", s.Host, "zone", s.Zone)
 	hurry := make(chan struct{})
-	app := entry.App(entry.Given{Settings: s, Bootstrap: bootstrap, Log: log, Hurry: hurry})
+	app := entry.App(entry.Options{Settings: s, Bootstrap: bootstrap, Log: log, StopNow: hurry})
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/process/demo/demo.go
+++ b/internal/process/demo/demo.go
@@ -119,7 +119,7 @@
 	d.entries = d.User.Entries(a)
 	for _, s := range d.entries {
 		log := d.Log.With("host", s.Host, "zone", s.Zone)
-		app := entry.App(entry.Given{Settings: s, Bootstrap: d.User.Configuration(), Log: log})
+		app := entry.App(entry.Options{Settings: s, Bootstrap: d.User.Configuration(), Log: log})
 		if err := app.Start(ctx); err != nil {
 			return err
 		}
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -38,25 +38,25 @@
 	startTimeout = 30 * time.Second
 )
 
-// Given is what an entry host starts from.
-type Given struct {
+// Options is what an entry host starts from.
+type Options struct {
 	Settings  settings.Entry
 	Bootstrap configuration.Configuration
 	Log       *slog.Logger
-	// Hurry, when closed, ends the wait of a stop: what is left is handed over
+	// StopNow, when closed, ends the wait of a stop: what is left is handed over
 	// or cut. The context of a stop won't do, as fx abandons its hooks with it.
-	Hurry <-chan struct{}
+	StopNow <-chan struct{}
 }
 
 // App builds an entry host; start and stop it as any fx.App.
-func App(given Given) *fx.App {
+func App(options Options) *fx.App {
 	return fx.New(
-		fx.Supply(given, given.Settings, given.Log),
+		fx.Supply(options, options.Settings, options.Log),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
 		fx.StartTimeout(startTimeout),
 		fx.Provide(
-			newLife, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
+			newLifetime, newClients, meter.New, newController, newWatcher, newJournal, newServer, newOperator, newRouter,
 			peer.NewRouter, newMembers, newBudget, newCommandBudget, newLease, newClaimer,
 			newReclaim, newPoller, newGate, newReplacement, newLoader,
 		),
@@ -64,16 +64,16 @@
 	)
 }
 
-// life is the group of everything that runs, and the context that ends it.
-type life struct {
+// lifetime is the group of everything that runs, and the context that ends it.
+type lifetime struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  *errgroup.Group
 }
 
-func newLife() life {
+func newLifetime() lifetime {
 	ctx, cancel := context.WithCancel(context.Background())
-	return life{ctx: ctx, cancel: cancel, group: new(errgroup.Group)}
+	return lifetime{ctx: ctx, cancel: cancel, group: new(errgroup.Group)}
 }
 
 // clients are the connections to the platform and endpoints.
@@ -109,7 +109,7 @@
 	}
 }
 
-func newServer(l life, s settings.Entry, c *controller.Controller, e engine.Client, m *meter.Meter, log *slog.Logger, claims *claimer.Claimer, members *member.Members) *Server {
+func newServer(l lifetime, s settings.Entry, c *controller.Controller, e engine.Client, m *meter.Meter, log *slog.Logger, claims *claimer.Claimer, members *member.Members) *Server {
 	server := New(l.ctx, l.group, s, WithSnapshot(c.Snapshot), WithLog(log), WithMeter(m), WithClaims(ClaimsOf(claims)))
 	server.Engine = e
 	server.Engine.Pace = server.pace
@@ -125,12 +125,12 @@
 }
 
 // runControl starts what learns about the deployment, and ends it last.
-func runControl(lc fx.Lifecycle, l life, given Given, c *controller.Controller, w controller.Watcher, j *journal.Journal) {
+func runControl(lc fx.Lifecycle, l lifetime, options Options, c *controller.Controller, w controller.Watcher, j *journal.Journal) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l.group.Go(func() error { return c.Run(l.ctx) })
 			l.group.Go(func() error { return w.Run(l.ctx) })
-			l.group.Go(func() error { return bootstrap(l.ctx, given, j) })
+			l.group.Go(func() error { return bootstrap(l.ctx, options, j) })
 			l.group.Go(func() error { return j.Run(l.ctx) })
 			return nil
 		},
@@ -142,18 +142,18 @@
 }
 
 // runFront serves callers, and on stop drains before it closes.
-func runFront(lc fx.Lifecycle, l life, given Given, s *Server, router *mux.Router) {
+func runFront(lc fx.Lifecycle, l lifetime, options Options, s *Server, router *mux.Router) {
 	front := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			return listen(l.group, front, given.Settings.Listen)
+			return listen(l.group, front, options.Settings.Listen)
 		},
 		OnStop: func(ctx context.Context) error {
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
 			l.group.Go(func() error {
 				select {
-				case <-given.Hurry:
+				case <-options.StopNow:
 				case <-ctx.Done():
 				}
 				cancel()
--- a/internal/process/entry/caches.go
+++ b/internal/process/entry/caches.go
@@ -77,7 +77,7 @@
 func newGate(s *Server) *admission.Gate { return s.router.gate }
 
 // runRouting keeps what routing knows beside the snapshot.
-func runRouting(lc fx.Lifecycle, l life, s *Server, p *prefix.Poller, c *controller.Controller, members *member.Members) {
+func runRouting(lc fx.Lifecycle, l lifetime, s *Server, p *prefix.Poller, c *controller.Controller, members *member.Members) {
 	s.router.hosts = func() int { return len(members.Live()) }
 	members.Demand = func() []member.Demand { return told(s.router.gate.Demand()) }
 	lc.Append(fx.Hook{OnStart: func(context.Context) error {
--- a/internal/process/entry/claims.go
+++ b/internal/process/entry/claims.go
@@ -78,7 +78,7 @@
 	return c
 }
 
-func runClaims(lc fx.Lifecycle, l life, router peer.Router, c *claimer.Claimer) {
+func runClaims(lc fx.Lifecycle, l lifetime, router peer.Router, c *claimer.Claimer) {
 	MountClaims(router, c)
 	lc.Append(fx.Hook{OnStart: func(context.Context) error {
 		l.group.Go(func() error { return c.Run(l.ctx) })
--- a/internal/process/entry/configuration.go
+++ b/internal/process/entry/configuration.go
@@ -39,16 +39,16 @@
 }
 
 // bootstrap offers the settings' configuration until the service has one.
-func bootstrap(ctx context.Context, given Given, j *journal.Journal) error {
-	if given.Settings.Bootstrap.Configuration == "" {
+func bootstrap(ctx context.Context, options Options, j *journal.Journal) error {
+	if options.Settings.Bootstrap.Configuration == "" {
 		return nil
 	}
 	for ctx.Err() == nil {
-		err := j.Bootstrap(ctx, given.Bootstrap)
+		err := j.Bootstrap(ctx, options.Bootstrap)
 		if err == nil {
 			return nil
 		}
-		given.Log.Warn("bootstrap_failed", "error", err)
+		options.Log.Warn("bootstrap_failed", "error", err)
 		select {
 		case <-time.After(bootstrapPause):
 		case <-ctx.Done():
--- a/internal/process/entry/drain.go
+++ b/internal/process/entry/drain.go
@@ -49,7 +49,7 @@
 		return nil
 	}
 	for _, w := range works {
-		s.Log.Warn("stop_cuts", "request", w.Request, "organisation", w.Organisation, "service", w.Service,
+		s.Log.Warn("request_cut", "request", w.Request, "organisation", w.Organisation, "service", w.Service,
 			"tokens", w.Tokens, "age_ms", w.AgeMillis)
 	}
 	cuts := fmt.Errorf("stop cuts %d requests: %s", len(works), nameCuts(works))
--- a/internal/process/entry/handover.go
+++ b/internal/process/entry/handover.go
@@ -53,7 +53,7 @@
 
 // MountPeers adds the handover service to the peer listener's router.
 func (s *Server) MountPeers(router peer.Router) {
-	path, handler := handover.NewHandoverServiceHandler(taker{server: s})
+	path, handler := handover.NewHandoverServiceHandler(handoverServer{server: s})
 	router.PathPrefix(path).Handler(handler)
 }
 
@@ -81,7 +81,7 @@
 // Leave hands the work over shortly before the host is gone.
 func (s *Server) Leave(ctx context.Context, deadline time.Time) {
 	s.stopping.Store(true)
-	s.Log.Info("host_leaves", "deadline", deadline, "running", s.Running())
+	s.Log.Info("host_draining", "deadline", deadline, "running", s.Running())
 	if pause.For(ctx, time.Until(deadline)-handoverMargin) {
 		s.HandOver(ctx)
 	}
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -37,7 +37,7 @@
 	return l
 }
 
-func runLease(lc fx.Lifecycle, l life, zone *lease.Lease) {
+func runLease(lc fx.Lifecycle, l lifetime, zone *lease.Lease) {
 	lc.Append(fx.StartHook(func(context.Context) error {
 		l.group.Go(func() error { return zone.Run(l.ctx) })
 		return nil
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -19,7 +19,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-func newMembers(l life, s settings.Entry, c *controller.Controller, m *meter.Meter, log *slog.Logger) *member.Members {
+func newMembers(l lifetime, s settings.Entry, c *controller.Controller, m *meter.Meter, log *slog.Logger) *member.Members {
 	members := member.New(member.Peer{
 		Host: s.Host, Incarnation: identity.NewIncarnation(), Zone: s.Zone, Address: s.PeerListen,
 	})
@@ -85,7 +85,7 @@
 
 // runPeers serves the peer listener, and closes it after the front.
 func runPeers(
-	lc fx.Lifecycle, l life, s settings.Entry, router peer.Router,
+	lc fx.Lifecycle, l lifetime, s settings.Entry, router peer.Router,
 	c *controller.Controller, members *member.Members, j *journal.Journal, front *Server,
 ) {
 	members.Mount(router)
--- a/internal/process/entry/plain.go
+++ b/internal/process/entry/plain.go
@@ -37,14 +37,14 @@
 	}
 	s.group.Go(func() error {
 		defer s.requests.end(c.Request)
-		running.plain.finish(s.carryOut(c))
+		running.plain.finish(s.execute(c))
 		return nil
 	})
 	s.followPlain(w, r, running)
 }
 
-// carryOut makes the call, also when its caller is gone by now.
-func (s *Server) carryOut(c call.Call) (engine.PlainAnswer, *verdict.Error) {
+// execute makes the call, even if its caller has disconnected.
+func (s *Server) execute(c call.Call) (engine.PlainAnswer, *verdict.Error) {
 	ctx, cancel := context.WithTimeout(s.ctx, plainTimeout)
 	defer cancel()
 	ctx, cancel = withDeadline(ctx, c.Deadline)
--- a/internal/process/entry/reclaim.go
+++ b/internal/process/entry/reclaim.go
@@ -67,7 +67,7 @@
 }
 
 // runReclaim sees leaving endpoints off until everything ends.
-func runReclaim(lc fx.Lifecycle, l life, r *reclaim.Reclaim, s *Server) {
+func runReclaim(lc fx.Lifecycle, l lifetime, r *reclaim.Reclaim, s *Server) {
 	s.Resumed = func(m Resumption) {
 		r.Record.Add(reclaim.Event{
 			At: time.Now(), Host: m.From.Host, Incarnation: m.From.Incarnation, What: reclaim.Resumed,
--- a/internal/process/entry/replacement.go
+++ b/internal/process/entry/replacement.go
@@ -92,7 +92,7 @@
 }
 
 // runReplacement orders hosts and loads until everything ends.
-func runReplacement(lc fx.Lifecycle, l life, r *replacement.Replacement, loads *loader.Loader) {
+func runReplacement(lc fx.Lifecycle, l lifetime, r *replacement.Replacement, loads *loader.Loader) {
 	lc.Append(fx.StartHook(func(context.Context) error {
 		l.group.Go(func() error { return r.Run(l.ctx) })
 		l.group.Go(func() error { return loads.Run(l.ctx) })
--- a/internal/process/entry/taker.go
+++ b/internal/process/entry/takeover.go
@@ -15,14 +15,14 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/unit"
 )
 
-// taker answers the peers' calls.
-type taker struct {
+// handoverServer answers the calls with which peers hand over requests.
+type handoverServer struct {
 	server *Server
 }
 
 // Follow gives what there is of an answer from an offset on.
-func (t taker) Follow(ctx context.Context, r *connect.Request[handover.FollowRequest]) (*connect.Response[handover.FollowResponse], error) {
-	w, ok := t.server.requests.find(identity.Request(r.Msg.GetRequest()))
+func (h handoverServer) Follow(ctx context.Context, r *connect.Request[handover.FollowRequest]) (*connect.Response[handover.FollowResponse], error) {
+	w, ok := h.server.requests.find(identity.Request(r.Msg.GetRequest()))
 	if !ok || string(w.call.Organisation) != r.Msg.GetOrganisation() {
 		return connect.NewResponse(new(handover.FollowResponse)), nil
 	}
@@ -68,22 +68,22 @@
 }
 
 // Take goes on with a request that a leaving peer hands over.
-func (t taker) Take(_ context.Context, r *connect.Request[handover.TakeRequest]) (*connect.Response[handover.TakeResponse], error) {
-	if t.server.stopping.Load() {
+func (h handoverServer) Take(_ context.Context, r *connect.Request[handover.TakeRequest]) (*connect.Response[handover.TakeResponse], error) {
+	if h.server.stopping.Load() {
 		return connect.NewResponse(new(handover.TakeResponse)), nil
 	}
 	c := callOf(r.Msg)
-	if _, again := t.server.requests.find(c.Request); again {
+	if _, again := h.server.requests.find(c.Request); again {
 		return connect.NewResponse(&handover.TakeResponse{Taken: true}), nil
 	}
-	w, ok := t.server.requests.start(c)
+	w, ok := h.server.requests.start(c)
 	if !ok {
 		return connect.NewResponse(new(handover.TakeResponse)), nil
 	}
 	if _, err := w.answer.Add(0, r.Msg.GetTokens()); err != nil {
 		w.answer.Fail(verdict.Of(err))
 	}
-	t.server.begin(w, t.server.admitTaken)
+	h.server.begin(w, h.server.admitTaken)
 	return connect.NewResponse(&handover.TakeResponse{Taken: true}), nil
 }
 
--- a/internal/process/operator/command.go
+++ b/internal/process/operator/command.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// carryOut offers a command, or tells what it would do.
-func (o Operator) carryOut(ctx context.Context, c command) Table {
+// execute offers a command, or tells what it would do.
+func (o Operator) execute(ctx context.Context, c command) Table {
 	if c.dryRun {
 		return o.dryRun(ctx, c)
 	}
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -143,7 +143,7 @@
 	if c.order == nil {
 		return o.query(ctx, ask.Line, parsed), false
 	}
-	answer := o.carryOut(ctx, c)
+	answer := o.execute(ctx, c)
 	if o.Log != nil {
 		o.Log.Info("operator_command", "command", c.id, "operator", by, "line", c.line, "dry_run", c.dryRun,
 			"version", answer.Version, "error", answer.Error)
