--- a/internal/process/command/demo.go
+++ b/internal/process/command/demo.go
@@ -10,38 +10,58 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/process/demo"
 	"github.com/dandelionlift/dandelionlift/internal/standin/scenario"
+	"github.com/dandelionlift/dandelionlift/platform"
 )
 
+var errBroken = errors.New("a promise was not kept")
+
 func demoCommand() *cobra.Command {
 	var seed uint64
 	var name string
-	var verbose bool
+	var verbose, onPlatform bool
 	c := &cobra.Command{
 		Use:   "demo",
 		Short: "Run a whole deployment in one process while a zone is reclaimed",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			user, err := scenario.Named(name)
-			if err != nil {
-				return fmt.Errorf("--user: %w", err)
-			}
 			log := slog.New(slog.NewTextHandler(io.Discard, nil))
 			if verbose {
 				log = newLog("info")
 			}
+			if onPlatform {
+				return platformDemo(c, seed, log)
+			}
+			user, err := scenario.Named(name)
+			if err != nil {
+				return fmt.Errorf("--user: %w", err)
+			}
 			counts, err := demo.New(user, seed, c.OutOrStdout(), log).Run(c.Context())
 			if err != nil {
 				return err
 			}
 			fmt.Fprintln(c.OutOrStdout(), counts)
 			if counts.Broken() {
-				return errors.New("a promise was not kept")
+				return errBroken
 			}
 			return nil
 		},
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the calls")
 	c.Flags().StringVar(&name, "user", "perseid", "perseid or holloway")
+	c.Flags().BoolVar(&onPlatform, "platform", false, "run before stand-ins of the users' platform, whose endpoints spoil some calls")
 	c.Flags().BoolVar(&verbose, "verbose", false, "print the entry hosts' logs")
 	return c
 }
+
+// platformDemo runs the demo that goes through the platform's adapter.
+func platformDemo(c *cobra.Command, seed uint64, log *slog.Logger) error {
+	counts, err := platform.Demo(c.Context(), seed, c.OutOrStdout(), log)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(c.OutOrStdout(), counts)
+	if !counts.Kept() {
+		return errBroken
+	}
+	return nil
+}
--- a/internal/process/scaling/scaling.go
+++ b/internal/process/scaling/scaling.go
@@ -140,7 +140,8 @@
 	return max(0, need-float64(stableFloor+z.Reclaimable))
 }
 
-// Memory smooths demand: it rises at once and falls slowly.
+// Memory smooths demand, which rises at once and falls slowly, and knows how the
+// fleet began.
 type Memory struct {
 	held map[identity.Zone]float64
 	at   time.Time
