process/duty: wait for calls on their way before acting again

Cause: a host that starts, or lost the duty, waited for a lease from that moment. A call it had sent just before may arrive 1.2 s later, so that it acted, another did, and it acted again within a lease as the platform sees it.

Change: it waits for a lease and as long as a call may be on its way. A fleet that starts takes its duties 1.2 s later.

--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -15,7 +15,8 @@
 // # Turns
 //
 // A host that held the duty, or that has just started, waits for as long as a
-// lease lasts before it acts again, so that it can't act around another holder.
+// lease lasts after its last call can have arrived before it acts again, so that it
+// can't act around another holder.
 package duty
 
 import (
@@ -34,6 +35,9 @@
 	// margin is how much earlier than its lease the holder stops: a call may be
 	// under way for as long.
 	margin = 700 * time.Millisecond
+	// underWay is how long a call that was sent may take to arrive: callers give it
+	// up by then.
+	underWay = 1200 * time.Millisecond
 	// renewals is how often a lease is renewed in its time.
 	renewals = 4
 	// stagger is the time between the candidates' turns.
@@ -75,7 +79,7 @@
 	return &Duty{
 		Elsewhere: func() bool { return false }, Rank: func() int { return 0 }, Log: slog.Default(),
 		store: store, key: key, holder: []byte(inc), ttl: ttl,
-		earliest: time.Now().Add(ttl), renew: make(chan struct{}, 1),
+		earliest: time.Now().Add(ttl + underWay), renew: make(chan struct{}, 1),
 	}
 }
 
@@ -223,7 +227,7 @@
 
 func (d *Duty) lose() {
 	d.hold.Store(nil)
-	d.earliest = time.Now().Add(d.ttl)
+	d.earliest = time.Now().Add(d.ttl + underWay)
 	d.Log.Warn("duty_lost")
 }
 
