--- a/internal/process/command/demo.go
+++ b/internal/process/command/demo.go
@@ -10,7 +10,7 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/process/demo"
 	"github.com/dandelionlift/dandelionlift/internal/standin/scenario"
-	"github.com/dandelionlift/dandelionlift/platform"
+	"github.com/dandelionlift/dandelionlift/platform/standin"
 )
 
 var errBroken = errors.New("a promise was not kept")
@@ -55,7 +55,7 @@
 
 // platformDemo runs the demo that goes through the platform's adapter.
 func platformDemo(c *cobra.Command, seed uint64, log *slog.Logger) error {
-	counts, err := platform.Demo(c.Context(), seed, c.OutOrStdout(), log)
+	counts, err := standin.Demo(c.Context(), seed, c.OutOrStdout(), log)
 	if err != nil {
 		return err
 	}
