process/duty: one bound for calls under the duty

Cause: the wait before a host acts again rests on how long its last call may be on its way, but that figure stood twice, in process/duty and where process/gateway bounds the calls. Change: duty.CallWithin is both. The value, 1.2 s, and behaviour stay; the packages' tests pass.

--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -35,9 +35,9 @@
 	// margin is how much earlier than its lease the holder stops: a call may be
 	// under way for as long.
 	margin = 700 * time.Millisecond
-	// underWay is how long a call that was sent may take to arrive: callers give it
-	// up by then.
-	underWay = 1200 * time.Millisecond
+	// CallWithin bounds each call that is made under the duty, less than a lease
+	// lasts. A call that was sent may arrive as late.
+	CallWithin = 1200 * time.Millisecond
 	// renewals is how often a lease is renewed in its time.
 	renewals = 4
 	// stagger is the time between the candidates' turns.
@@ -79,7 +79,7 @@
 	return &Duty{
 		Elsewhere: func() bool { return false }, Rank: func() int { return 0 }, Log: slog.Default(),
 		store: store, key: key, holder: []byte(inc), ttl: ttl,
-		earliest: time.Now().Add(ttl + underWay), renew: make(chan struct{}, 1),
+		earliest: time.Now().Add(ttl + CallWithin), renew: make(chan struct{}, 1),
 	}
 }
 
@@ -227,7 +227,7 @@
 
 func (d *Duty) lose() {
 	d.hold.Store(nil)
-	d.earliest = time.Now().Add(d.ttl + underWay)
+	d.earliest = time.Now().Add(d.ttl + CallWithin)
 	d.Log.Warn("duty_lost")
 }
 
--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -10,6 +10,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
 	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
+	"github.com/dandelionlift/dandelionlift/internal/process/duty"
 	"github.com/dandelionlift/dandelionlift/internal/process/scaling"
 	"github.com/dandelionlift/dandelionlift/internal/process/usage"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
@@ -23,8 +24,6 @@
 	usageSettle = 1500 * time.Millisecond
 	// usageKept is how many windows' records stay in the store, for a successor.
 	usageKept = 12
-	// callWithin bounds a duty's call, less than a lease lasts.
-	callWithin = 1200 * time.Millisecond
 )
 
 // runUsage reports each window's usage while this host holds the duty.
@@ -53,7 +52,7 @@
 // report writes a window's counts to the store first, so that whoever holds the
 // duty later repeats the same, and then tells the platform.
 func (g *Gateway) report(ctx context.Context, w usage.Window) bool {
-	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	ctx, cancel := context.WithTimeout(ctx, duty.CallWithin)
 	defer cancel()
 	counts, err := g.record(ctx, w)
 	if err != nil {
@@ -244,7 +243,7 @@
 	if !ok || !p.orders[k].due(fence, desired, present) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	ctx, cancel := context.WithTimeout(ctx, duty.CallWithin)
 	defer cancel()
 	err := p.g.edge.Duties.Order(ctx, fence, cloud.Count{Service: k.service, Zone: k.zone, Reclaimable: k.reclaimable, Desired: desired})
 	p.g.outcome(err)
