process/duty: shorten leases in the store that the tests share

Cause: the histories wrapped Grant and Keep and wrote the store's leases a second time to make them end early. Change: the tests' store grants a part of what is asked for, and how late a call may be is duty.CallWithin.

--- a/internal/process/duty/duty_test.go
+++ b/internal/process/duty/duty_test.go
@@ -25,11 +25,18 @@
 	lease    keyvalue.LeaseID
 	next     keyvalue.LeaseID
 	ends     map[keyvalue.LeaseID]time.Time
+	// grants is how long a lease really lasts, as a part of what was asked for.
+	grants float64
 	// lose makes the answers of transactions that are done go missing.
 	lose bool
 }
 
-func newStore() *store { return &store{ends: make(map[keyvalue.LeaseID]time.Time)} }
+func newStore() *store { return &store{ends: make(map[keyvalue.LeaseID]time.Time), grants: 1} }
+
+// extend has a lease last from now.
+func (s *store) extend(lease keyvalue.LeaseID, asked time.Duration) {
+	s.ends[lease] = time.Now().Add(time.Duration(s.grants * float64(asked)))
+}
 
 // expire removes the key if its lease has ended.
 func (s *store) expire() {
@@ -83,7 +90,7 @@
 				return 0, err
 			}
 			s.next++
-			s.ends[s.next] = time.Now().Add(ttl)
+			s.extend(s.next, ttl)
 			return s.next, nil
 		},
 		Keep: func(_ context.Context, lease keyvalue.LeaseID) error {
@@ -95,7 +102,7 @@
 			if !time.Now().Before(s.ends[lease]) {
 				return keyvalue.ErrNoLease
 			}
-			s.ends[lease] = time.Now().Add(ttl)
+			s.extend(lease, ttl)
 			return nil
 		},
 		End: func(_ context.Context, lease keyvalue.LeaseID) error {
--- a/internal/process/duty/history_test.go
+++ b/internal/process/duty/history_test.go
@@ -14,7 +14,6 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
 	"github.com/dandelionlift/dandelionlift/internal/process/duty"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
@@ -25,7 +24,7 @@
 	runFor   = 3 * time.Minute
 	actEvery = 200 * time.Millisecond
 	// lateMost is how long a call may be on its way.
-	lateMost = 1200 * time.Millisecond
+	lateMost = duty.CallWithin
 )
 
 // act is what a holder did, and when it took effect.
@@ -79,8 +78,6 @@
 	platform platform
 	hosts    []*candidate
 	group    errgroup.Group
-	// grants is how long a lease really lasts, as a part of what was asked for.
-	grants float64
 	// together tells that two hosts could act at the same moment.
 	together string
 }
@@ -93,8 +90,9 @@
 }
 
 func newHistory(seed uint64, checks bool, grants float64) *history {
-	h := &history{rng: rand.New(rand.NewPCG(seed, 0)), store: newStore(), grants: grants}
+	h := &history{rng: rand.New(rand.NewPCG(seed, 0)), store: newStore()}
 	h.platform.checks = checks
+	h.store.grants = grants
 	for i := range 4 {
 		h.hosts = append(h.hosts, &candidate{index: i})
 	}
@@ -107,22 +105,7 @@
 		c.cancel()
 	}
 	ctx, c.cancel = context.WithCancel(ctx)
-	client := h.store.client(func() bool { return c.down })
-	grant := client.Grant
-	client.Grant = func(ctx context.Context, asked time.Duration) (keyvalue.LeaseID, error) {
-		return grant(ctx, time.Duration(h.grants*float64(asked)))
-	}
-	keep := client.Keep
-	client.Keep = func(ctx context.Context, lease keyvalue.LeaseID) error {
-		err := keep(ctx, lease)
-		h.store.mu.Lock()
-		defer h.store.mu.Unlock()
-		if err == nil {
-			h.store.ends[lease] = time.Now().Add(time.Duration(h.grants * float64(ttl)))
-		}
-		return err
-	}
-	d := duty.New(client, "duty", identity.Incarnation(fmt.Sprint(c.index, h.rng.Uint64())), ttl)
+	d := duty.New(h.store.client(func() bool { return c.down }), "duty", identity.Incarnation(fmt.Sprint(c.index, h.rng.Uint64())), ttl)
 	d.Rank = func() int { return c.index }
 	d.Log = slog.New(slog.DiscardHandler)
 	c.duty = d
