process/balance: one copy of what the engines' data sheet says

Cause: the speed at which engines read prompts and the time of a step stood in process/balance, for the choice of an endpoint, and again in process/gateway, for the demand that scaling follows. Change: balance.Work gives the engine time of a call, and the gateway asks it. The figures are the same but for rounding to a nanosecond.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -313,6 +313,11 @@
 	}
 }
 
+// Work is the engine time that a call takes, of which so many prompt tokens are read.
+func Work(uncached, output unit.Tokens) time.Duration {
+	return millis(float64(uncached)/prefillPerMilli + generatedShare*float64(output)*stepMillis/sharing)
+}
+
 func millis(m float64) time.Duration { return time.Duration(m * float64(time.Millisecond)) }
 
 // homeShares is the part of a prompt's common parts that is expected at its first
@@ -325,6 +330,10 @@
 	prefillPerMilli = 42.6
 	stepMillis      = 5.55
 	stepEachMillis  = 0.029
+	// sharing is how many calls usually share a step, and generatedShare the part of
+	// the most tokens asked for that is generated.
+	sharing        = 24
+	generatedShare = 0.4
 	// plainWorkMillis is how long a plain service works on a call, from the sheet.
 	plainWorkMillis = 15.0
 	// slotWaitMillis is the time after which one of a full engine's slots is free:
--- a/internal/process/gateway/tell.go
+++ b/internal/process/gateway/tell.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/process/forward"
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
@@ -76,25 +77,15 @@
 	at  time.Time
 }
 
-const (
-	// workWindow smooths the demand that scaling follows.
-	workWindow = 4 * time.Second
-	// prefillPerSecond and tokenSeconds describe the users' engines, from their
-	// data sheet: prompt tokens read in a second, and the time of a step divided
-	// by the requests that usually share it.
-	prefillPerSecond = 42_600
-	tokenSeconds     = 0.00555 / 24
-	// generatedShare is the part of the most tokens asked for that is generated.
-	generatedShare = 0.4
-)
+// workWindow smooths the demand that scaling follows.
+const workWindow = 4 * time.Second
 
 // asked counts a model call's work.
 func (g *Gateway) asked(c *forward.Call, uncached unit.Tokens) {
 	if c.Service.Engine == nil {
 		return
 	}
-	seconds := float64(uncached)/prefillPerSecond + generatedShare*float64(c.Output)*tokenSeconds
-	g.work.add(time.Now(), c.Service.ID, seconds)
+	g.work.add(time.Now(), c.Service.ID, balance.Work(uncached, c.Output).Seconds())
 }
 
 func (w *work) add(now time.Time, id identity.Service, seconds float64) {
