process/balance: name a prompt's leading parts once a call

Cause: for each of the nine or more endpoints that a choice compares, the names of the prompt's leading parts and the size of its common ones were computed anew. Change: what follows from the parts alone is computed once a call, in prompt.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -161,10 +161,10 @@
 func (b *Balancer) Choose(now time.Time, ask Ask) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	homes := b.homes(ask)
-	best, found := b.least(now, ask, homes, b.candidates(ask, homes))
+	p := b.prompt(ask)
+	best, found := b.least(now, ask, p, b.candidates(ask, p.homes))
 	if !found || best.penalised {
-		best, found = b.least(now, ask, homes, b.services[ask.Service.ID])
+		best, found = b.least(now, ask, p, b.services[ask.Service.ID])
 	}
 	return best.Choice, found
 }
@@ -172,7 +172,7 @@
 // candidates are a prompt's homes and some endpoints drawn at random. What is known
 // of other hosts' calls is old: if all hosts looked at all endpoints, all would send
 // to the same ones until they hear of it.
-func (b *Balancer) candidates(ask Ask, homes *homes) []*state {
+func (b *Balancer) candidates(ask Ask, homes homes) []*state {
 	all := b.services[ask.Service.ID]
 	if len(all) <= drawn {
 		return all
@@ -196,13 +196,13 @@
 }
 
 // least gives the choice of the least cost from a list.
-func (b *Balancer) least(now time.Time, ask Ask, homes *homes, list []*state) (best priced, found bool) {
+func (b *Balancer) least(now time.Time, ask Ask, p prompt, list []*state) (best priced, found bool) {
 	lowest := 0.0
 	for _, s := range list {
 		if s.endpoint.Leaving || slices.Contains(ask.Avoid, s.endpoint.Incarnation) {
 			continue
 		}
-		choice := b.estimate(now, s, ask, homes.share(s))
+		choice := b.estimate(now, s, ask, p)
 		penalty := s.penalty(now)
 		cost := float64(choice.Wait)/float64(time.Millisecond) + b.distance(s.endpoint.Zone, ask.Service) + penalty
 		cost += rand.Float64() * spread
@@ -214,7 +214,7 @@
 }
 
 // estimate says how long a call would wait at an endpoint.
-func (b *Balancer) estimate(now time.Time, s *state, ask Ask, share float64) Choice {
+func (b *Balancer) estimate(now time.Time, s *state, ask Ask, p prompt) Choice {
 	running := s.own.Running + s.others.Running
 	choice := Choice{Endpoint: s.endpoint, Idle: 2*running < s.endpoint.Slots}
 	over := max(0, running+1-s.endpoint.Slots)
@@ -223,7 +223,7 @@
 		choice.Wait = millis(work + plainWorkMillis)
 		return choice
 	}
-	choice.Uncached = ask.Prompt - s.cached(now, ask, share)
+	choice.Uncached = ask.Prompt - s.cached(now, ask, p)
 	unread := float64(s.own.Unread + s.others.Unread + choice.Uncached)
 	wait := unread/prefillPerMilli + stepMillis + stepEachMillis*float64(running)
 	wait += float64(over) * slotWaitMillis
@@ -237,25 +237,40 @@
 
 // cached estimates the tokens of the prompt that an endpoint holds: what this host
 // sent there, or the share of its common parts that hosts together have.
-func (s *state) cached(now time.Time, ask Ask, share float64) unit.Tokens {
-	var known, guessed unit.Tokens
-	if len(ask.Parts) == 0 {
-		return 0
-	}
-	for i, p := range ask.Parts {
-		at, sent := s.parts[chain(ask.Parts[:i+1])]
+func (s *state) cached(now time.Time, ask Ask, p prompt) unit.Tokens {
+	var known unit.Tokens
+	for i, part := range ask.Parts {
+		at, sent := s.parts[p.chains[i]]
 		if !sent || now.Sub(at) > cachedFor {
 			break
 		}
-		known += p.Tokens
+		known += part.Tokens
 	}
-	for _, p := range ask.Parts[:len(ask.Parts)-1] {
-		guessed += p.Tokens
-	}
-	guessed = unit.Tokens(share * float64(guessed))
+	guessed := unit.Tokens(p.homes.share(s) * float64(p.common))
 	return min(ask.Prompt, max(known, guessed))
 }
 
+// prompt is what follows from a call's parts alone, whatever the endpoint.
+type prompt struct {
+	// chains names the leading parts, one more each.
+	chains []uint64
+	// common is the size of the parts before the call's own.
+	common unit.Tokens
+	homes  homes
+}
+
+func (b *Balancer) prompt(ask Ask) prompt {
+	p := prompt{chains: chains(ask.Parts)}
+	if len(ask.Parts) < 2 {
+		return p
+	}
+	for _, part := range ask.Parts[:len(ask.Parts)-1] {
+		p.common += part.Tokens
+	}
+	p.homes = b.homes(ask.Service.ID, p.chains[len(p.chains)-2])
+	return p
+}
+
 // homes are the endpoints at which all hosts look for a prompt's common parts, the
 // first one first.
 type homes [len(homeShares)]*state
@@ -272,14 +287,10 @@
 
 // homes ranks endpoints by rendezvous hashing. Sessions come to hosts of all
 // zones, so a zone's own homes would each read a session's parts once more.
-func (b *Balancer) homes(ask Ask) *homes {
+func (b *Balancer) homes(service identity.Service, key uint64) homes {
 	var found homes
-	if len(ask.Parts) < 2 {
-		return &found
-	}
-	key := chain(ask.Parts[:len(ask.Parts)-1])
 	var ranks [len(homeShares)]uint64
-	for _, s := range b.services[ask.Service.ID] {
+	for _, s := range b.services[service] {
 		if s.endpoint.Leaving {
 			continue
 		}
@@ -294,7 +305,7 @@
 			}
 		}
 	}
-	return &found
+	return found
 }
 
 // distance is what it costs to leave the zone, as a wait.
--- a/internal/process/balance/use.go
+++ b/internal/process/balance/use.go
@@ -28,8 +28,8 @@
 	s.own.Running++
 	s.own.Unread += u.unread
 	s.own.Held += ask.Prompt + ask.Output
-	for i := range ask.Parts {
-		s.parts[chain(ask.Parts[:i+1])] = now
+	for _, c := range chains(ask.Parts) {
+		s.parts[c] = now
 	}
 	return u
 }
@@ -159,6 +159,15 @@
 	return p
 }
 
+// chains names a prompt's leading parts, one more each.
+func chains(parts []Part) []uint64 {
+	names := make([]uint64, len(parts))
+	for i := range parts {
+		names[i] = chain(parts[:i+1])
+	}
+	return names
+}
+
 // chain names a prompt's leading parts.
 func chain(parts []Part) uint64 {
 	h := uint64(len(parts))
