process/forward: drop the time that nobody read

Cause: Began was told a time, and its only listener counts the call by the time that hosts agree on. Change: Began is told the organisation alone. Behaviour stays.

--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -55,7 +55,7 @@
 type Forwarder struct {
 	Protocol Protocol
 	// Began is told of each call that began to run.
-	Began func(at time.Time, organisation identity.Organisation)
+	Began func(organisation identity.Organisation)
 	// Asked is told of each call's work before it is sent or refused.
 	Asked func(c *Call, uncached unit.Tokens)
 	// Gone is told of an endpoint that another one has taken the address of.
@@ -72,7 +72,7 @@
 // New makes a Forwarder.
 func New(pool *endpoint.Pool, b *balance.Balancer, q *quota.Quota, budget *retry.Budget, m *meter.Meter) *Forwarder {
 	return &Forwarder{
-		Began: func(time.Time, identity.Organisation) {}, Asked: func(*Call, unit.Tokens) {}, Gone: func(identity.Incarnation) {}, Log: slog.Default(),
+		Began: func(identity.Organisation) {}, Asked: func(*Call, unit.Tokens) {}, Gone: func(identity.Incarnation) {}, Log: slog.Default(),
 		pool: pool, balancer: b, quota: q, budget: budget, meter: m,
 	}
 }
@@ -268,7 +268,7 @@
 	}
 	k.began = true
 	if k.Organisation != nil {
-		k.f.Began(time.Now(), k.Organisation.ID)
+		k.f.Began(k.Organisation.ID)
 	}
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -153,7 +153,7 @@
 	g.budget = retry.New(bounds.Retries, func() int { return g.neighbours.Hosts(hostsWithin) })
 	g.forwarder = forward.New(g.pool, g.balancer, g.quota, g.budget, m)
 	g.forwarder.Protocol, g.forwarder.Log = edge.Protocol, log
-	g.forwarder.Began = func(at time.Time, id identity.Organisation) { g.usage.Began(g.clock.Now(), id) }
+	g.forwarder.Began = func(id identity.Organisation) { g.usage.Began(g.clock.Now(), id) }
 	g.forwarder.Asked, g.forwarder.Gone = g.asked, g.misdirected
 	g.live.Store(new([]neighbour.Heard))
 	g.fleet.Store(new([]fleet.Endpoint))
