process/gateway: take a neighbour's copy when the own watch stays behind

Each time its watch was started anew, so that none ever ran long enough to fail; a watch that was ended so counted as the store's answer besides. The host never took a neighbour's copy, and got version 33, acknowledged at 45.4 s, at 54.3 s, after the store was back.

Ruled out: neighbours (all others of the zone had the version by 46.7 s and told so), the size of the configuration (1,178 routes since 33.7 s, copied then in 20 ms).

Change: a host that has been behind for half a second takes the neighbour's copy; a watch that was started anew says nothing of the store.

TestASilentWatchIsReplacedByANeighboursCopy fails before, three of three.

--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
@@ -111,10 +113,17 @@
 	for i := range 3 {
 		s.set(fmt.Sprint("endpoints/", i), "ready")
 	}
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	g, _ := launch(c, s.store())
+	until(c, g, "ready ready ready")
+	return c, s, g
+}
+
+// launch runs a gateway over a store, which answers its neighbours and knows of some.
+func launch(c *qt.C, s keyvalue.Store, neighbours ...netip.AddrPort) (*gateway.Gateway, netip.AddrPort) {
+	listener, conn, err := gateway.Listen(freeAddress(c))
 	c.Assert(err, qt.IsNil)
 	edge := gateway.Edge{
-		Store: s.store(), ConfigurationKey: "configuration", EndpointPrefix: "endpoints/",
+		Store: s, ConfigurationKey: "configuration", EndpointPrefix: "endpoints/",
 		Catalogue: func(data []byte) (*catalogue.Catalogue, error) {
 			version, err := strconv.ParseUint(string(data), 10, 64)
 			return catalogue.New(catalogue.Catalogue{Version: identity.Version(version)}), err
@@ -131,22 +140,39 @@
 	}
 	place := gateway.Place{
 		Host: "h", Zone: "z", Regions: map[identity.Zone]identity.Region{"z": "r"},
-		Address: netip.MustParseAddrPort(conn.LocalAddr().String()),
+		Address: netip.MustParseAddrPort(conn.LocalAddr().String()), Seeds: neighbours,
 	}
 	bounds := gateway.Bounds{
 		Lease: time.Minute, UsageWindow: time.Second, UsageLate: time.Second, Reappear: reappear,
 		Retries: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 	}
 	g := gateway.New(place, bounds, edge, conn, meter.New(), slog.New(slog.DiscardHandler))
-	ctx, cancel := context.WithCancel(t.Context())
+	router := mux.NewRouter()
+	g.Routes(router)
+	server := &http.Server{Handler: router, ReadHeaderTimeout: time.Minute}
+	ctx, cancel := context.WithCancel(context.Background())
 	group := new(errgroup.Group)
 	group.Go(func() error { return g.Run(ctx) })
-	t.Cleanup(func() {
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	c.Cleanup(func() {
 		cancel()
+		server.Close()
 		c.Check(group.Wait(), qt.IsNil)
 	})
-	until(c, g, "ready ready ready")
-	return c, s, g
+	return g, place.Address
+}
+
+// freeAddress finds an address that is free for both protocols.
+func freeAddress(c *qt.C) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
 // seen tells what a gateway believes of the endpoints.
@@ -239,6 +265,40 @@
 }
 
 // A host without a copy of the platform's data, or that stops, takes no callers.
+// The store turns one host away without an answer, while its neighbour follows it: the
+// host must not wait for its own watch again and again, as each start of it puts off
+// the moment at which it is known to be silent.
+func TestASilentWatchIsReplacedByANeighboursCopy(t *testing.T) {
+	c := qt.New(t)
+	s := &store{revision: 1, values: make(map[string]keyvalue.Value)}
+	s.set("configuration", "3")
+	silent := s.store()
+	silent.Changes = func(ctx context.Context, _ string, _ keyvalue.Revision, wait time.Duration) (keyvalue.Changes, error) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait + time.Second):
+		}
+		return keyvalue.Changes{}, keyvalue.ErrUnavailable
+	}
+	near, address := launch(c, s.store())
+	turnedAway, _ := launch(c, silent, address)
+	inForce := func(g *gateway.Gateway, version identity.Version) bool {
+		// A version must be in force within 2.5 s.
+		for range 25 {
+			if now := g.Catalogue(); now != nil && now.Version == version {
+				return true
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		return false
+	}
+	c.Assert(inForce(near, 3) && inForce(turnedAway, 3), qt.IsTrue)
+	time.Sleep(time.Second)
+	s.set("configuration", "4")
+	c.Assert(inForce(near, 4), qt.IsTrue)
+	c.Assert(inForce(turnedAway, 4), qt.IsTrue)
+}
+
 func TestReadiness(t *testing.T) {
 	c, _, g := start(t)
 	for range 400 {
--- a/internal/process/gateway/register.go
+++ b/internal/process/gateway/register.go
@@ -87,6 +87,9 @@
 	copyAfter  = 300 * time.Millisecond
 	copyWithin = time.Second
 	copyMost   = 8 << 20
+	// watchWithin is how long a host that is behind leaves it to its own watch: the
+	// store answers in milliseconds, and a slow one some sixty times later.
+	watchWithin = 500 * time.Millisecond
 )
 
 // Routes serves neighbours.
@@ -117,15 +120,22 @@
 	client := &http.Client{Timeout: copyWithin, Transport: &http.Transport{
 		DialContext: endpoint.Dialer().DialContext, DisableKeepAlives: true,
 	}}
-	behind := make(map[string]bool)
+	behind := make(map[string]time.Time)
 	for pause.For(ctx, copyEvery) {
 		for _, prefix := range []string{g.edge.ConfigurationKey, g.edge.EndpointPrefix} {
 			h, ok := g.newer(prefix)
-			if !ok || !behind[prefix] && g.watches() {
-				behind[prefix] = ok
+			if !ok {
+				delete(behind, prefix)
 				continue
 			}
-			g.catchUp(ctx, client, prefix, h)
+			since, known := behind[prefix]
+			if !known {
+				since = time.Now()
+				behind[prefix] = since
+			}
+			if known || !g.watches() {
+				g.catchUp(ctx, client, prefix, h, time.Since(since))
+			}
 		}
 	}
 	return nil
@@ -163,10 +173,13 @@
 	return best, best.Address.IsValid()
 }
 
-func (g *Gateway) catchUp(ctx context.Context, client *http.Client, prefix string, h neighbour.Heard) {
+// catchUp starts the own watch anew, or takes the neighbour's copy if the store
+// fails this host. Each start puts off the moment at which a silent store is known,
+// so that having been behind for a while counts as such a failure.
+func (g *Gateway) catchUp(ctx context.Context, client *http.Client, prefix string, h neighbour.Heard, behind time.Duration) {
 	since, failing := g.mirror.Failing(prefix)
 	switch {
-	case failing && time.Since(since) >= copyAfter, !g.mirror.Loaded(prefix), !g.watches():
+	case failing && time.Since(since) >= copyAfter, !g.mirror.Loaded(prefix), !g.watches(), behind >= watchWithin:
 		g.takeCopy(ctx, client, prefix, h)
 	case !failing:
 		g.log.Info("watch_behind", "prefix", prefix, "as_of", g.mirror.AsOf(prefix), "told", h.Revisions[prefix], "by", h.Host)
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -128,6 +128,9 @@
 			continue
 		}
 		err := m.step(ctx, prefix)
+		if errors.Is(err, errAgain) {
+			continue
+		}
 		if err == nil {
 			m.succeeded(prefix)
 			wait = retryFirst
@@ -158,8 +161,8 @@
 	h.again = cancel
 	m.mu.Unlock()
 	changes, err := m.Store.Changes(watch, prefix, after, m.wait())
-	if err != nil && watch.Err() != nil {
-		return ctx.Err()
+	if err != nil && watch.Err() != nil && ctx.Err() == nil {
+		return errAgain
 	}
 	if errors.Is(err, keyvalue.ErrCompacted) {
 		m.Log.Info("store_history_compacted", "prefix", prefix, "revision", after)
@@ -172,6 +175,9 @@
 	return nil
 }
 
+// errAgain ends a watch that Again started anew: it says nothing of the store.
+var errAgain = errors.New("watch started anew")
+
 // wait is how long a watch waits.
 func (m *Mirror) wait() time.Duration {
 	return max(watchLeast, min(watchMost, watchLeast*time.Duration(m.Hosts())/watchers))
