forward, endpoint: log the prompt's parts of calls whose connection is lost

The log could not tell whether crashes of endpoints have anything in common: it named the request and the endpoint of a failed call, not what the call consists of. connection_lost does, for each attempt that an endpoint ended by closing or resetting its connection. No logic is changed.

--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -192,6 +193,17 @@
 	return verdict.Wrap(result, verdict.EndpointLost, err)
 }
 
+// Disconnected reports whether an attempt failed because the endpoint closed or reset
+// the connection while the call was in progress, as a crashing endpoint does.
+func Disconnected(failure *verdict.Error) bool {
+	if failure.Reason != verdict.EndpointLost || failure.Verdict == verdict.NotRun {
+		return false
+	}
+	return slices.ContainsFunc(disconnections, func(target error) bool { return errors.Is(failure, target) })
+}
+
+var disconnections = []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}
+
 // acquire returns a usable idle connection or opens one, and reports whether it is
 // new.
 func (p *Pool) acquire(ctx context.Context, address netip.AddrPort, nonIdempotent bool) (*conn, bool, error) {
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -23,6 +23,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
@@ -156,6 +157,7 @@
 		if failure != nil {
 			return k.fail(ctx, failure)
 		}
+		sentAt := time.Now()
 		failure = k.attempt(ctx, choice)
 		if failure == nil {
 			k.f.Log.Info("call_answered", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
@@ -164,6 +166,10 @@
 			return nil
 		}
 		k.failures = append(k.failures, string(choice.Endpoint.Incarnation)+" "+string(failure.Reason)+" "+failure.Verdict.String())
+		if endpoint.Disconnected(failure) {
+			k.f.Log.Warn("connection_lost", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
+				"parts", partIDs(k.Parts), "last_event", k.lastEvent, "sent_before", time.Since(sentAt))
+		}
 		if failure.Verdict != verdict.NotRun {
 			k.overall = verdict.MayHaveRun
 		}
@@ -175,6 +181,15 @@
 	}
 }
 
+// partIDs returns the ids of a prompt's parts as in the callers' headers.
+func partIDs(parts []balance.Part) []string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return ids
+}
+
 // choose returns an endpoint, or a refusal if none can serve the call in time.
 func (k *forwarding) choose(ctx context.Context) (balance.Choice, *verdict.Error) {
 	if ctx.Err() != nil || time.Until(k.Deadline) < minTimeLeft {
