--- a/internal/process/forward/forward_test.go
+++ b/internal/process/forward/forward_test.go
@@ -31,6 +31,8 @@
 // testEnv is a forwarder with some endpoints, each implemented by an HTTP handler.
 type testEnv struct {
 	forwarder *forward.Forwarder
+	balancer  *balance.Balancer
+	endpoints []fleet.Endpoint
 	mu        sync.Mutex
 	// received lists the endpoints in the order in which they received requests.
 	received []string
@@ -65,6 +67,7 @@
 		})
 	}
 	b.SetEndpoints(list)
+	env.balancer, env.endpoints = b, list
 	budget := retry.New(limits, func() int { return 1 })
 	env.forwarder = forward.New(endpoint.New(new(errgroup.Group)), b, quota.New(time.Now()), budget, meter.New())
 	env.forwarder.Protocol = forward.Protocol{
