process/quarantine: stop calls whose prompt parts crash endpoints

Cause: a failure was only ever held against the endpoint. An ejected endpoint made way for the next one, retries and callers' repeats included; nothing related a crash to the calls in progress, and no host sees more than its own. Ruled out by the parts in the log: load (no crash without the part) and retries of other calls.

Hosts now record the parts of the calls that a crash breaks off and exchange the records with their reports, relays at every report. A part is quarantined once chance does not explain its crashes and no call with it was answered since; parts that can't be told apart are stopped only together. Calls that have all of them are refused before they are charged, as prompt_quarantined. The leader keeps the quarantines in the store, for a restart of all hosts.

--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -89,6 +89,9 @@
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
 	Body   io.ReadCloser
+	// Delimited is false if the body ends with its connection, so that an answer that was
+	// broken off can look complete.
+	Delimited bool
 	// OpenedConnection says that the call opened a connection.
 	OpenedConnection bool
 }
@@ -169,6 +172,7 @@
 	body := &body{pool: p, conn: c, address: address, response: response, stop: stop, writeResult: writeDone}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: body, OpenedConnection: opened,
+		Delimited: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 	}, nil
 }
 
--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -77,6 +77,7 @@
 		return balance.Failed, failure
 	}
 	defer answer.Body.Close()
+	k.answerDelimited = answer.Delimited
 	if answer.OpenedConnection {
 		k.f.meter.Counter("endpoint_connections_total").Inc()
 	}
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -29,6 +29,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
+	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/quota"
 	"github.com/dandelionlift/dandelionlift/internal/process/retry"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
@@ -72,6 +73,8 @@
 	// one.
 	OnMisdirected func(identity.Incarnation)
 	Log           *slog.Logger
+	// Quarantine holds the prompt parts that crash endpoints; calls with them are refused.
+	Quarantine *quarantine.Quarantine
 
 	pool     *endpoint.Pool
 	balancer *balance.Balancer
@@ -84,7 +87,8 @@
 func New(pool *endpoint.Pool, b *balance.Balancer, q *quota.Quota, budget *retry.Budget, m *meter.Meter) *Forwarder {
 	return &Forwarder{
 		OnExecuted: func(identity.Organisation) {}, OnChosen: func(*Call, unit.Tokens) {}, OnMisdirected: func(identity.Incarnation) {}, Log: slog.Default(),
-		pool: pool, balancer: b, quota: q, budget: budget, meter: m,
+		Quarantine: quarantine.New(),
+		pool:       pool, balancer: b, quota: q, budget: budget, meter: m,
 	}
 }
 
@@ -95,6 +99,8 @@
 	w http.ResponseWriter
 	// call describes the call to the balancer; endpoints already tried are avoided.
 	call balance.Call
+	// shared lists the prompt's parts that other calls may have too.
+	shared []quarantine.PartID
 	// sends counts the attempts, delivered those that may have reached an
 	// endpoint, and runs those that may have been executed.
 	sends, delivered, runs int
@@ -107,6 +113,8 @@
 	started bool
 	// lastEvent is the last event that was passed on.
 	lastEvent int64
+	// answerDelimited is set if the answer of the current attempt states its own end.
+	answerDelimited bool
 	// counted is set once OnExecuted has been called.
 	counted bool
 	// errorAnswer is an endpoint's 5xx answer, passed on if all other attempts
@@ -123,6 +131,10 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, c.Deadline, errDeadline)
 	defer cancel()
 	f.budget.RecordCall(c.Arrived, c.Service.ID)
+	shared := sharedParts(c.Parts)
+	if failure := f.checkQuarantine(c.Service.ID, shared); failure != nil {
+		return false, failure
+	}
 	if refusal, ok := f.admit(c); !ok {
 		detail := fmt.Sprintf("%s: %.0f units, %.0f available, %.0f needed, %.0f per second", c.Organisation.ID, c.Units, refusal.Available, refusal.Needed, refusal.PerSecond)
 		failure := verdict.New(verdict.NotRun, verdict.OrganisationLimit, detail)
@@ -130,7 +142,7 @@
 		return false, failure
 	}
 	k := &forwarding{
-		Call: c, f: f, w: w, overall: verdict.NotRun, lastEvent: c.LastEvent,
+		Call: c, f: f, w: w, shared: shared, overall: verdict.NotRun, lastEvent: c.LastEvent,
 		call: balance.Call{Service: c.Service, Parts: c.Parts, Prompt: c.Prompt, Output: c.Output},
 	}
 	failure = k.run(ctx)
@@ -160,6 +172,7 @@
 		sentAt := time.Now()
 		failure = k.attempt(ctx, choice)
 		if failure == nil {
+			k.recordAnswer(choice, time.Since(sentAt))
 			k.f.Log.Info("call_answered", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
 				"expected_wait", choice.Wait, "uncached", choice.Uncached, "attempts", k.failures, "last_event", k.lastEvent,
 				"after", time.Since(k.Arrived))
@@ -167,6 +180,7 @@
 		}
 		k.failures = append(k.failures, string(choice.Endpoint.Incarnation)+" "+string(failure.Reason)+" "+failure.Verdict.String())
 		if endpoint.Disconnected(failure) {
+			k.f.Quarantine.RecordCrash(k.quarantineAttempt(choice, time.Since(sentAt)))
 			k.f.Log.Warn("connection_lost", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
 				"parts", partIDs(k.Parts), "last_event", k.lastEvent, "sent_before", time.Since(sentAt))
 		}
@@ -195,6 +209,9 @@
 	if ctx.Err() != nil || time.Until(k.Deadline) < minTimeLeft {
 		return balance.Choice{}, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "")
 	}
+	if failure := k.f.checkQuarantine(k.Service.ID, k.shared); failure != nil {
+		return balance.Choice{}, failure
+	}
 	choice, found := k.f.balancer.Choose(time.Now(), k.call)
 	if !found && len(k.call.Avoid) > 0 {
 		k.call.Avoid = nil
--- /dev/null
+++ b/internal/process/forward/quarantine.go
@@ -0,0 +1,44 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/balance"
+	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+// sharedParts returns the parts of a prompt but the last, which is the call's own.
+func sharedParts(parts []balance.Part) []quarantine.PartID {
+	if len(parts) == 0 {
+		return nil
+	}
+	shared := make([]quarantine.PartID, len(parts)-1)
+	for i := range shared {
+		shared[i] = quarantine.PartID(parts[i].ID)
+	}
+	return shared
+}
+
+// checkQuarantine returns a refusal if calls with these parts are quarantined. The caller
+// is told to come back when the quarantine ends.
+func (f *Forwarder) checkQuarantine(service identity.Service, parts []quarantine.PartID) *verdict.Error {
+	remaining, quarantined := f.Quarantine.Check(service, parts)
+	if !quarantined {
+		return nil
+	}
+	return refused(verdict.PromptQuarantined, remaining)
+}
+
+func (k *forwarding) quarantineAttempt(choice balance.Choice, inProgress time.Duration) quarantine.Attempt {
+	return quarantine.Attempt{Service: k.Service.ID, Endpoint: choice.Endpoint.Incarnation, Parts: k.shared, InProgress: inProgress}
+}
+
+// recordAnswer records an answer as evidence that its parts and its endpoint are sound,
+// unless it may have ended early without a sign.
+func (k *forwarding) recordAnswer(choice balance.Choice, inProgress time.Duration) {
+	if k.answerDelimited {
+		k.f.Quarantine.RecordAnswer(k.quarantineAttempt(choice, inProgress))
+	}
+}
--- a/internal/process/forward/quarantine_test.go
+++ b/internal/process/forward/quarantine_test.go
@@ -106,6 +106,7 @@
 			c.Check(failure == nil, qt.IsTrue, qt.Commentf("sound call %d: %v", i, failure))
 		}
 		env.restart(crashed.list())
+		env.forwarder.Quarantine.Decide(map[identity.Service]int{"s": len(env.endpoints)}, 0)
 		time.Sleep(120 * time.Millisecond)
 	}
 	c.Check(len(crashed.list()) <= crashesBorne+lateSends, qt.IsTrue, qt.Commentf("%d endpoints crashed", len(crashed.list())))
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -266,6 +266,7 @@
 	}
 	g.speed.SetPeers(speeds)
 	g.shareQuota(now, live)
+	g.decideQuarantine()
 	expired := false
 	for key, kept := range g.control.retained {
 		if now.After(kept.until) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/mirror"
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
+	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/quota"
 	"github.com/dandelionlift/dandelionlift/internal/process/retry"
 	"github.com/dandelionlift/dandelionlift/internal/process/speed"
@@ -100,6 +101,7 @@
 	speed         *speed.Learner
 	budget        *retry.Budget
 	quota         *quota.Quota
+	quarantine    *quarantine.Quarantine
 	usage         *usage.Counter
 	neighbours    *neighbour.Neighbours
 	elector       *duty.Elector
@@ -127,10 +129,11 @@
 }
 
 const (
-	// dutyKey, hostsPrefix and usagePrefix are this system's own keys in the store.
-	dutyKey     = "dandelionlift/duty"
-	hostsPrefix = "dandelionlift/hosts/"
-	usagePrefix = "dandelionlift/usage/"
+	// dutyKey, hostsPrefix, usagePrefix and quarantineKey are this system's own keys in the store.
+	dutyKey       = "dandelionlift/duty"
+	hostsPrefix   = "dandelionlift/hosts/"
+	usagePrefix   = "dandelionlift/usage/"
+	quarantineKey = "dandelionlift/quarantine"
 	// eventQueueSize is the capacity of the control goroutine's event queues. Reports
 	// that exceed it are dropped: the next one repeats the complete state.
 	eventQueueSize = 256
@@ -146,6 +149,8 @@
 		misdirections: make(chan identity.Incarnation, eventQueueSize),
 	}
 	g.control = newControl()
+	g.quarantine = quarantine.New(quarantine.WithClock(g.clock.Now))
+	m.Gauge("prompt_quarantines", func() float64 { return float64(len(g.quarantine.Orders())) })
 	g.usage = usage.New(g.incarnation, self.Zone, bounds.UsageWindow)
 	g.speed = speed.New()
 	g.balancer = balance.New(self.Zone, g.region, balance.WithSpeed(g.speed))
@@ -172,7 +177,7 @@
 	g.pool = endpoint.New(g.group)
 	g.budget = retry.New(bounds.Retries, func() int { return g.neighbours.HostCount(hostCountWindow) })
 	g.forwarder = forward.New(g.pool, g.balancer, g.quota, g.budget, m)
-	g.forwarder.Protocol, g.forwarder.Log = platform.Protocol, log
+	g.forwarder.Protocol, g.forwarder.Log, g.forwarder.Quarantine = platform.Protocol, log, g.quarantine
 	g.forwarder.OnExecuted = func(id identity.Organisation) { g.usage.RecordCall(g.clock.Now(), id) }
 	g.forwarder.OnChosen, g.forwarder.OnMisdirected = g.recordDemand, g.onMisdirected
 	g.liveReports.Store(new([]neighbour.ReceivedReport))
@@ -206,6 +211,7 @@
 	group.Go(func() error { return g.runCopies(ctx) })
 	group.Go(func() error { return g.runUsage(ctx) })
 	group.Go(func() error { return g.runScaling(ctx) })
+	group.Go(func() error { return g.runQuarantine(ctx) })
 	return group.Wait()
 }
 
@@ -258,12 +264,18 @@
 // onReport records the clock and usage of a report, and queues the report for the
 // control goroutine.
 func (g *Gateway) onReport(r neighbour.Report) {
-	if r.Hosts > 0 {
+	switch {
+	case r.EvidenceOnly:
+	case r.Hosts > 0:
 		g.usage.MergeZone(r.Zone, r.Usage)
-	} else {
+	default:
 		g.clock.RecordWallClock(r.Host, time.Unix(0, r.WallNanos))
 		g.usage.MergeHost(r.Incarnation, r.Zone, r.Usage)
 	}
+	g.quarantine.Merge(r.Quarantine)
+	if r.EvidenceOnly {
+		return
+	}
 	select {
 	case g.reports <- r:
 	default:
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
 	"github.com/dandelionlift/dandelionlift/internal/process/gateway"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
+	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/retry"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
@@ -300,6 +301,23 @@
 	c.Assert(reaches(unanswered, 4), qt.IsTrue)
 }
 
+// After a restart of all hosts no host knows what crashes endpoints, and the store must
+// tell. The value of another writer must not keep a host from starting.
+func TestStoredQuarantineIsInForceAfterARestart(t *testing.T) {
+	c := qt.New(t)
+	s := &fakeStore{revision: 1, values: make(map[string]keyvalue.Value)}
+	s.set("dandelionlift/quarantine", fmt.Sprintf(`[{"s":"s","p":[666],"t":%d}]`, time.Now().Add(-time.Second).UnixMilli()))
+	s.set("dandelionlift/quarantine2", `{"s":7}`)
+	g, _ := startGateway(c, s.client())
+	for range 400 {
+		if _, quarantined := g.Forwarder().Quarantine.Check("s", []quarantine.PartID{1, 666}); quarantined {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatal("the stored quarantine is not in force")
+}
+
 // A host becomes ready after its start, and is not ready while it is stopping.
 func TestReadiness(t *testing.T) {
 	c, _, g := startWithEndpoints(t)
--- /dev/null
+++ b/internal/process/gateway/quarantine.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
+	"github.com/dandelionlift/dandelionlift/internal/process/duty"
+	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+const (
+	// meshSettled and relayedSettled are the times in which all hosts hear of a crash and
+	// this one hears what they have answered since: two report intervals, or two ways
+	// over the relays of two zones.
+	meshSettled    = 700 * time.Millisecond
+	relayedSettled = 2 * time.Second
+	// quarantineInterval is the period of checking for quarantines to store.
+	quarantineInterval = 500 * time.Millisecond
+)
+
+// decideQuarantine quarantines prompt parts that crash endpoints.
+func (g *Gateway) decideQuarantine() {
+	endpoints := make(map[identity.Service]int)
+	for _, e := range *g.endpoints.Load() {
+		endpoints[e.Service]++
+	}
+	settled := meshSettled
+	if g.neighbours.Relayed() {
+		settled = relayedSettled
+	}
+	decision := g.quarantine.Decide(endpoints, settled)
+	for _, order := range decision.Quarantined {
+		g.log.Warn("part_quarantined", "service", order.Service, "parts", hexParts(order.Parts), "repeats", order.Repeats, "until", order.End())
+	}
+	for _, order := range decision.Released {
+		g.log.Info("part_released", "service", order.Service, "parts", hexParts(order.Parts))
+	}
+}
+
+// hexParts returns the ids of parts as in the callers' headers.
+func hexParts(parts []quarantine.PartID) []string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = strconv.FormatUint(uint64(part), 16)
+	}
+	return ids
+}
+
+// runQuarantine stores the quarantines while this host is the leader, so that they
+// outlast a restart of all hosts.
+func (g *Gateway) runQuarantine(ctx context.Context) error {
+	stored := "null"
+	for pause.For(ctx, quarantineInterval) {
+		if _, ok := g.elector.Fence(); !ok {
+			continue
+		}
+		data, err := json.Marshal(g.quarantine.Orders())
+		if err != nil || string(data) == stored {
+			continue
+		}
+		if err := g.storeQuarantine(ctx, data); err != nil {
+			g.log.Info("quarantine_not_stored", "error", err)
+			continue
+		}
+		stored = string(data)
+	}
+	return nil
+}
+
+func (g *Gateway) storeQuarantine(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, duty.CallTimeout)
+	defer cancel()
+	_, err := g.platform.Store.Commit(ctx, keyvalue.Transaction{Writes: []keyvalue.Entry{{Key: quarantineKey, Data: data}}})
+	return err
+}
+
+// readQuarantine reads the stored quarantines.
+func (g *Gateway) readQuarantine(ctx context.Context) error {
+	listing, err := g.platform.Store.Range(ctx, quarantineKey)
+	if err != nil {
+		return err
+	}
+	for _, v := range listing.Values {
+		var orders []quarantine.Order
+		if err := json.Unmarshal(v.Data, &orders); err != nil {
+			g.log.Warn("quarantine_unreadable", "revision", v.Revision, "error", err)
+			continue
+		}
+		g.quarantine.Merge(quarantine.Evidence{Orders: orders})
+	}
+	return nil
+}
--- a/internal/process/gateway/register.go
+++ b/internal/process/gateway/register.go
@@ -63,6 +63,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := g.readQuarantine(ctx); err != nil {
+		return 0, err
+	}
 	listing, err := g.platform.Store.Range(ctx, hostsPrefix)
 	if err != nil {
 		return 0, err
--- a/internal/process/neighbour/neighbour.go
+++ b/internal/process/neighbour/neighbour.go
@@ -36,6 +36,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
+	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/usage"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
@@ -172,12 +173,19 @@
 	if report.Relay && n.sequence%reportsPerOwnAggregate == 0 {
 		own := aggregate(report, zoneReports)
 		own.Usage, own.TokensAdmitted = n.ZoneUsage(), n.ZoneAdmitted()
+		own.Quarantine = quarantine.Evidence{}
 		report.ZoneAggregates = append(report.ZoneAggregates, own)
 	}
 	if sendAggregate {
 		aggregated := aggregate(report, zoneReports)
 		aggregated.Usage, aggregated.TokensAdmitted = n.ZoneUsage(), nil
 		n.write(aggregated, aggregateTargets)
+	} else if report.Relay && !report.Quarantine.Empty() {
+		// Evidence is not kept until the next aggregate: more endpoints crash meanwhile.
+		n.write(Report{
+			Host: report.Host, Incarnation: report.Incarnation, Address: report.Address, Zone: report.Zone,
+			Relayed: true, Quarantine: report.Quarantine, EvidenceOnly: true,
+		}, aggregateTargets)
 	}
 	report.WallNanos = time.Now().UnixNano()
 	n.write(report, reportTargets)
@@ -240,6 +248,10 @@
 	if report.Incarnation == n.incarnation || !report.Address.IsValid() {
 		return
 	}
+	if report.EvidenceOnly {
+		n.OnReport(report)
+		return
+	}
 	n.AddHosts(KnownHost{Address: report.Address, Zone: report.Zone})
 	n.AddHosts(report.KnownHosts...)
 	n.mu.Lock()
--- a/internal/process/neighbour/neighbour_test.go
+++ b/internal/process/neighbour/neighbour_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
+	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/usage"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
@@ -22,6 +23,8 @@
 	*neighbour.Neighbours
 	usage *usage.Counter
 	zone  identity.Zone
+	// quarantine is nil unless a test sets it.
+	quarantine *quarantine.Quarantine
 	// kill closes the host's socket, so that it neither sends nor receives.
 	kill func()
 }
@@ -36,8 +39,9 @@
 	return startHostsIn(t, count, func(i int) int { return i % zones })
 }
 
-// startHostsIn starts hosts in the zones that zoneOf returns.
-func startHostsIn(t *testing.T, count int, zoneOf func(i int) int) []host {
+// startHostsIn starts hosts in the zones that zoneOf returns, each after configure was
+// called with it.
+func startHostsIn(t *testing.T, count int, zoneOf func(i int) int, configure ...func(*host)) []host {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	group := new(errgroup.Group)
@@ -66,6 +70,9 @@
 			}
 			h.usage.MergeHost(r.Incarnation, r.Zone, r.Usage)
 		}
+		for _, f := range configure {
+			f(&h)
+		}
 		h.AddHosts(started...)
 		started = append(started, neighbour.KnownHost{Address: address, Zone: zone})
 		hosts = append(hosts, h)
--- a/internal/process/neighbour/report.go
+++ b/internal/process/neighbour/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/speed"
 	"github.com/dandelionlift/dandelionlift/internal/process/usage"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
@@ -65,6 +66,8 @@
 	Loads map[identity.Incarnation]Load `json:"load,omitempty"`
 	// Leaving lists the endpoints that the sender knows to be leaving.
 	Leaving []identity.Incarnation `json:"leave,omitempty"`
+	// Quarantine holds what the sender knows of prompts that crash endpoints.
+	Quarantine quarantine.Evidence `json:"quar,omitzero"`
 	// Leader is set while the sender is the leader.
 	Leader *Leader `json:"duty,omitempty"`
 	// KnownHosts is a random sample of the hosts that the sender knows.
@@ -81,6 +84,8 @@
 	Relay bool `json:"rl,omitempty"`
 	// WatchesStore is set if the sender watches the store and can serve copies of it.
 	WatchesStore bool `json:"relay,omitempty"`
+	// EvidenceOnly is set in a message to another zone that holds nothing but Quarantine.
+	EvidenceOnly bool `json:"evid,omitempty"`
 	// Stopping is set in the last report of a host that is stopping.
 	Stopping bool `json:"bye,omitempty"`
 }
@@ -106,7 +111,7 @@
 func aggregate(own Report, others []ReceivedReport) Report {
 	total := Report{
 		Host: own.Host, Incarnation: own.Incarnation, Address: own.Address, Zone: own.Zone, Sequence: own.Sequence,
-		Hosts: 1, Revisions: own.Revisions, Leader: own.Leader, Leaving: own.Leaving,
+		Hosts: 1, Revisions: own.Revisions, Leader: own.Leader, Leaving: own.Leaving, Quarantine: own.Quarantine,
 		TokenDemand: cloneMap(own.TokenDemand), ServiceDemand: cloneMap(own.ServiceDemand), Loads: cloneMap(own.Loads), Usage: cloneUsage(own.Usage),
 		ServiceDemandSquares: cloneMap(own.ServiceDemandSquares), Speeds: cloneMap(own.Speeds),
 	}
--- a/internal/process/neighbour/zone.go
+++ b/internal/process/neighbour/zone.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -102,6 +103,8 @@
 			continue
 		}
 		aggregated.ZoneAggregates = nil
+		// A relay passes evidence on in its own report.
+		aggregated.Quarantine = quarantine.Evidence{}
 		n.aggregates[aggregated.Zone] = ReceivedReport{Report: aggregated, ReceivedAt: time.Now()}
 		if report.Hosts == 0 {
 			added = append(added, aggregated)
--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -79,6 +79,7 @@
 	DuplicateRunning    Reason = "duplicate_running"
 	DeadlineExceeded    Reason = "deadline_exceeded"
 	RetryBudget         Reason = "retry_budget"
+	PromptQuarantined   Reason = "prompt_quarantined"
 	EndpointRefused     Reason = "endpoint_refused"
 	EndpointUnreachable Reason = "endpoint_unreachable"
 	EndpointLost        Reason = "endpoint_lost"
@@ -98,7 +99,7 @@
 	BadRequest, Unauthorised, UnknownService, UnknownRequest,
 	OrganisationLimit, TargetOutOfReach, QueueTimeout, NoEndpoint, ZoneCutOff,
 	ClaimUnavailable, KeyReused, KeyExpired, DuplicateRunning,
-	DeadlineExceeded, RetryBudget,
+	DeadlineExceeded, RetryBudget, PromptQuarantined,
 	EndpointRefused, EndpointUnreachable, EndpointLost, EndpointSilent, EndpointLeaving,
 	AnswerGap, AnswerMismatch, HostStopping, HostFull, NoConfiguration, CallerGone, AlreadyRan,
 }
