forward, platform: log the limit that an endpoint names in its answer

An endpoint in need names the requests a second that it takes from all hosts together (Server-Limit). No logic is changed.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -78,6 +78,7 @@
 	}
 	defer answer.Body.Close()
 	k.answerDelimited = answer.Delimited
+	k.limit, k.limited = k.f.Protocol.Limit(answer.Header)
 	if answer.OpenedConnection {
 		k.f.meter.Counter("endpoint_connections_total").Inc()
 	}
--- a/internal/process/forward/call.go
+++ b/internal/process/forward/call.go
@@ -64,6 +64,9 @@
 	BelongsTo func(c *Call, answer http.Header) bool
 	// Classify classifies an answer by its status and header.
 	Classify func(status int, answer http.Header) AnswerClass
+	// Limit returns the calls per second that an endpoint names in an answer as what it
+	// takes from all hosts together, and whether it names any.
+	Limit func(answer http.Header) (perSecond float64, named bool)
 	// CallerHeader returns the part of an endpoint's header that is passed to the
 	// caller.
 	CallerHeader func(answer http.Header) http.Header
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -115,6 +115,9 @@
 	lastEvent int64
 	// answerDelimited is set if the answer of the current attempt states its own end.
 	answerDelimited bool
+	// limit is the limit that the endpoint named in its latest answer, if limited is set.
+	limit   float64
+	limited bool
 	// counted is set once OnExecuted has been called.
 	counted bool
 	// errorAnswer is an endpoint's 5xx answer, passed on if all other attempts
@@ -175,7 +178,7 @@
 			k.recordAnswer(choice, time.Since(sentAt))
 			k.f.Log.Info("call_answered", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
 				"expected_wait", choice.Wait, "uncached", choice.Uncached, "attempts", k.failures, "last_event", k.lastEvent,
-				"after", time.Since(k.Arrived))
+				"limited", k.limited, "limit", k.limit, "after", time.Since(k.Arrived))
 			return nil
 		}
 		k.failures = append(k.failures, string(choice.Endpoint.Incarnation)+" "+string(failure.Reason)+" "+failure.Verdict.String())
--- a/internal/process/forward/forward_test.go
+++ b/internal/process/forward/forward_test.go
@@ -81,6 +81,10 @@
 			}
 			return forward.Executed
 		},
+		Limit: func(h http.Header) (float64, bool) {
+			perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
+			return perSecond, err == nil
+		},
 		CallerHeader: func(h http.Header) http.Header { return h },
 	}
 	return env
