process/limit: keep to the limits that endpoints name

Cause: nothing read the limit; an endpoint was ranked by its expected wait alone. Ruled out by the log: late news, as no host did anything with it, and retries, of which there were none among the calls above the limit.

The newest answer of an endpoint sets its limit, at whichever host it arrived; hosts report limits to each other. A share of a call in many seconds can't be saved up, so hosts take turns: each sends in its own slots only, the same fraction of all slots whatever its clock says. The relays of a large fleet take the turns for it. Where all endpoints are used up, a call is refused at once as endpoint_limit.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -15,6 +15,10 @@
 // Endpoints are ejected by the outcomes of calls. An ejected endpoint is ranked
 // last for a while instead of being excluded, so that the ranking is unchanged if
 // all endpoints fail alike.
+//
+// # Limits
+//
+// An endpoint that names a limit is excluded except in this host's turns.
 package balance
 
 import (
@@ -25,6 +29,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
 	"github.com/dandelionlift/dandelionlift/internal/process/speed"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
@@ -76,6 +81,7 @@
 	zone   identity.Zone
 	region func(identity.Zone) identity.Region
 	speed  *speed.Learner
+	limits *limit.Limits
 
 	mu        sync.Mutex
 	endpoints map[identity.Incarnation]*endpointState
@@ -106,10 +112,15 @@
 	return func(b *Balancer) { b.speed = l }
 }
 
+// WithLimits sets the limits that endpoints name.
+func WithLimits(l *limit.Limits) Option {
+	return func(b *Balancer) { b.limits = l }
+}
+
 // New returns a Balancer for a host in zone.
 func New(zone identity.Zone, region func(identity.Zone) identity.Region, options ...Option) *Balancer {
 	b := &Balancer{
-		zone: zone, region: region, speed: speed.New(),
+		zone: zone, region: region, speed: speed.New(), limits: limit.New(),
 		endpoints: make(map[identity.Incarnation]*endpointState), services: make(map[identity.Service][]*endpointState),
 	}
 	for _, option := range options {
@@ -198,9 +209,23 @@
 	if !found || best.penalised {
 		best, found = b.cheapest(now, q, b.services[call.Service.ID])
 	}
+	if found {
+		b.limits.Take(best.Endpoint.Incarnation)
+	}
 	return best.Choice, found
 }
 
+// Limited reports whether a service has endpoints that would serve a call, had they not
+// named a limit.
+func (b *Balancer) Limited(service identity.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.services[service], func(s *endpointState) bool {
+		_, limited := b.limits.Limited(s.endpoint.Incarnation)
+		return limited && !s.endpoint.Leaving
+	})
+}
+
 // query is a call with what is derived for it once for all endpoints.
 type query struct {
 	Call
@@ -239,7 +264,7 @@
 func (b *Balancer) cheapest(now time.Time, q query, list []*endpointState) (best rankedChoice, found bool) {
 	lowestCost := 0.0
 	for _, s := range list {
-		if s.endpoint.Leaving || slices.Contains(q.Avoid, s.endpoint.Incarnation) {
+		if s.endpoint.Leaving || slices.Contains(q.Avoid, s.endpoint.Incarnation) || !b.limits.Open(s.endpoint.Incarnation) {
 			continue
 		}
 		choice := b.estimate(now, s, q)
--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -65,6 +65,7 @@
 		NonIdempotent: !k.Route.Retryable(),
 		Matches:       func(h http.Header) bool { return k.f.Protocol.BelongsTo(k.Call, h) },
 	}
+	sentAt := time.Now()
 	answer, err := k.f.pool.Send(ctx, choice.Endpoint.Address, request)
 	if err != nil {
 		failure := verdict.FromError(err)
@@ -79,6 +80,7 @@
 	defer answer.Body.Close()
 	k.answerDelimited = answer.Delimited
 	k.limit, k.limited = k.f.Protocol.Limit(answer.Header)
+	k.recordLimit(choice, answer, time.Since(sentAt))
 	if answer.OpenedConnection {
 		k.f.meter.Counter("endpoint_connections_total").Inc()
 	}
@@ -104,6 +106,17 @@
 	return k.forwardAnswer(ctx, answer)
 }
 
+// recordLimit records the limit that an endpoint names. A refusal without one is no sign
+// that a limit has ended.
+func (k *forwarding) recordLimit(choice balance.Choice, answer *endpoint.Answer, sentBefore time.Duration) {
+	if !k.limited && k.f.Protocol.Classify(answer.Status, answer.Header) != Executed {
+		return
+	}
+	if k.f.Limits.Record(choice.Endpoint.Incarnation, k.limit, k.limited, sentBefore) {
+		k.f.Log.Info("endpoint_limit", "endpoint", choice.Endpoint.Incarnation, "limited", k.limited, "per_second", k.limit, "request", k.ID)
+	}
+}
+
 // drain reads a short answer to its end, so that its connection can be reused.
 func drain(answer *endpoint.Answer) {
 	// On a read error Close discards the connection.
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -28,6 +28,7 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
+	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/quota"
@@ -75,6 +76,8 @@
 	Log           *slog.Logger
 	// Quarantine holds the prompt parts that crash endpoints; calls with them are refused.
 	Quarantine *quarantine.Quarantine
+	// Limits holds the limits that endpoints name. The balancer keeps to them.
+	Limits *limit.Limits
 
 	pool     *endpoint.Pool
 	balancer *balance.Balancer
@@ -87,8 +90,8 @@
 func New(pool *endpoint.Pool, b *balance.Balancer, q *quota.Quota, budget *retry.Budget, m *meter.Meter) *Forwarder {
 	return &Forwarder{
 		OnExecuted: func(identity.Organisation) {}, OnChosen: func(*Call, unit.Tokens) {}, OnMisdirected: func(identity.Incarnation) {}, Log: slog.Default(),
-		Quarantine: quarantine.New(),
-		pool:       pool, balancer: b, quota: q, budget: budget, meter: m,
+		Quarantine: quarantine.New(), Limits: limit.New(),
+		pool: pool, balancer: b, quota: q, budget: budget, meter: m,
 	}
 }
 
@@ -220,6 +223,9 @@
 		k.call.Avoid = nil
 		choice, found = k.f.balancer.Choose(time.Now(), k.call)
 	}
+	if !found && k.f.balancer.Limited(k.Service.ID) {
+		return choice, refused(verdict.EndpointLimit, longRetryAfter)
+	}
 	if !found {
 		return choice, refused(verdict.NoEndpoint, longRetryAfter)
 	}
--- a/internal/process/forward/forward_test.go
+++ b/internal/process/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/process/forward"
+	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/quota"
 	"github.com/dandelionlift/dandelionlift/internal/process/retry"
@@ -46,7 +47,8 @@
 // for a crashed endpoint.
 func newTestEnvWithBudget(c *qt.C, limits retry.Limits, handlers ...http.HandlerFunc) *testEnv {
 	env := new(testEnv)
-	b := balance.New("z", func(identity.Zone) identity.Region { return "r" })
+	named := limit.New()
+	b := balance.New("z", func(identity.Zone) identity.Region { return "r" }, balance.WithLimits(named))
 	var list []fleet.Endpoint
 	for i, handler := range handlers {
 		name := string('a' + rune(i))
@@ -70,6 +72,7 @@
 	env.balancer, env.endpoints = b, list
 	budget := retry.New(limits, func() int { return 1 })
 	env.forwarder = forward.New(endpoint.New(new(errgroup.Group)), b, quota.New(time.Now()), budget, meter.New())
+	env.forwarder.Limits = named
 	env.forwarder.Protocol = forward.Protocol{
 		AttemptHeader: func(_ *forward.Call, _ fleet.Endpoint, _ time.Duration, last int64) http.Header {
 			return http.Header{"Last": {strconv.FormatInt(last, 10)}}
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -267,6 +267,7 @@
 	g.speed.SetPeers(speeds)
 	g.shareQuota(now, live)
 	g.decideQuarantine()
+	g.limits.SetTurn(g.turn(heard))
 	expired := false
 	for key, kept := range g.control.retained {
 		if now.After(kept.until) {
@@ -312,10 +313,12 @@
 func (g *Gateway) sweep(now time.Time) bool {
 	g.balancer.EvictExpired(now)
 	g.usage.EvictOld(g.clock.Now())
-	current := make(map[netip.AddrPort]bool)
+	current, incarnations := make(map[netip.AddrPort]bool), make(map[identity.Incarnation]bool)
 	for _, e := range *g.endpoints.Load() {
 		current[e.Address] = true
+		incarnations[e.Incarnation] = true
 	}
+	g.limits.Retain(incarnations)
 	g.pool.CloseIdle(now, func(a netip.AddrPort) bool { return current[a] })
 	changed := false
 	for id, since := range g.control.leaving {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/clock"
 	"github.com/dandelionlift/dandelionlift/internal/process/duty"
 	"github.com/dandelionlift/dandelionlift/internal/process/forward"
+	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/mirror"
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
@@ -102,6 +103,7 @@
 	budget        *retry.Budget
 	quota         *quota.Quota
 	quarantine    *quarantine.Quarantine
+	limits        *limit.Limits
 	usage         *usage.Counter
 	neighbours    *neighbour.Neighbours
 	elector       *duty.Elector
@@ -153,7 +155,9 @@
 	m.Gauge("prompt_quarantines", func() float64 { return float64(len(g.quarantine.Orders())) })
 	g.usage = usage.New(g.incarnation, self.Zone, bounds.UsageWindow)
 	g.speed = speed.New()
-	g.balancer = balance.New(self.Zone, g.region, balance.WithSpeed(g.speed))
+	g.limits = limit.New(limit.WithClock(g.clock.Now))
+	m.Gauge("endpoints_limited", func() float64 { return float64(g.limitedEndpoints()) })
+	g.balancer = balance.New(self.Zone, g.region, balance.WithSpeed(g.speed), balance.WithLimits(g.limits))
 	g.neighbours = neighbour.New(conn, self.Address, self.Zone, g.incarnation)
 	g.neighbours.LocalReport, g.neighbours.OnReport, g.neighbours.Log = g.localReport, g.onReport, log
 	g.neighbours.Bytes = m.Counter(`control_bytes_total{kind="neighbours"}`)
@@ -178,6 +182,7 @@
 	g.budget = retry.New(bounds.Retries, func() int { return g.neighbours.HostCount(hostCountWindow) })
 	g.forwarder = forward.New(g.pool, g.balancer, g.quota, g.budget, m)
 	g.forwarder.Protocol, g.forwarder.Log, g.forwarder.Quarantine = platform.Protocol, log, g.quarantine
+	g.forwarder.Limits = g.limits
 	g.forwarder.OnExecuted = func(id identity.Organisation) { g.usage.RecordCall(g.clock.Now(), id) }
 	g.forwarder.OnChosen, g.forwarder.OnMisdirected = g.recordDemand, g.onMisdirected
 	g.liveReports.Store(new([]neighbour.ReceivedReport))
@@ -273,6 +278,7 @@
 		g.usage.MergeHost(r.Incarnation, r.Zone, r.Usage)
 	}
 	g.quarantine.Merge(r.Quarantine)
+	g.limits.Merge(r.Limits)
 	if r.EvidenceOnly {
 		return
 	}
--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -36,6 +36,7 @@
 		Usage:        g.usage.LocalCounts(g.clock.Now()),
 		Loads:        g.balancer.LocalLoads(now),
 		Leaving:      *g.leaving.Load(),
+		Limits:       g.limits.Reported(g.neighbours.IsRelay()),
 		Quarantine:   g.quarantine.Evidence(g.neighbours.Relayed() && g.neighbours.IsRelay()),
 		WatchesStore: g.neighbours.IsRelay() && !g.storeFailing(),
 	}
--- a/internal/process/neighbour/report.go
+++ b/internal/process/neighbour/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/speed"
 	"github.com/dandelionlift/dandelionlift/internal/process/usage"
@@ -66,6 +67,8 @@
 	Loads map[identity.Incarnation]Load `json:"load,omitempty"`
 	// Leaving lists the endpoints that the sender knows to be leaving.
 	Leaving []identity.Incarnation `json:"leave,omitempty"`
+	// Limits holds the limits that endpoints have named, those that have ended included.
+	Limits map[identity.Incarnation]limit.Named `json:"lim,omitempty"`
 	// Quarantine holds what the sender knows of prompts that crash endpoints.
 	Quarantine quarantine.Evidence `json:"quar,omitzero"`
 	// Leader is set while the sender is the leader.
@@ -111,7 +114,7 @@
 func aggregate(own Report, others []ReceivedReport) Report {
 	total := Report{
 		Host: own.Host, Incarnation: own.Incarnation, Address: own.Address, Zone: own.Zone, Sequence: own.Sequence,
-		Hosts: 1, Revisions: own.Revisions, Leader: own.Leader, Leaving: own.Leaving, Quarantine: own.Quarantine,
+		Hosts: 1, Revisions: own.Revisions, Leader: own.Leader, Leaving: own.Leaving, Quarantine: own.Quarantine, Limits: own.Limits,
 		TokenDemand: cloneMap(own.TokenDemand), ServiceDemand: cloneMap(own.ServiceDemand), Loads: cloneMap(own.Loads), Usage: cloneUsage(own.Usage),
 		ServiceDemandSquares: cloneMap(own.ServiceDemandSquares), Speeds: cloneMap(own.Speeds),
 	}
--- a/internal/process/neighbour/zone.go
+++ b/internal/process/neighbour/zone.go
@@ -103,8 +103,8 @@
 			continue
 		}
 		aggregated.ZoneAggregates = nil
-		// A relay passes evidence on in its own report.
-		aggregated.Quarantine = quarantine.Evidence{}
+		// A relay passes these on in its own report.
+		aggregated.Quarantine, aggregated.Limits = quarantine.Evidence{}, nil
 		n.aggregates[aggregated.Zone] = ReceivedReport{Report: aggregated, ReceivedAt: time.Now()}
 		if report.Hosts == 0 {
 			added = append(added, aggregated)
--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -81,6 +81,7 @@
 	RetryBudget         Reason = "retry_budget"
 	PromptQuarantined   Reason = "prompt_quarantined"
 	EndpointRefused     Reason = "endpoint_refused"
+	EndpointLimit       Reason = "endpoint_limit"
 	EndpointUnreachable Reason = "endpoint_unreachable"
 	EndpointLost        Reason = "endpoint_lost"
 	EndpointSilent      Reason = "endpoint_silent"
@@ -100,7 +101,7 @@
 	OrganisationLimit, TargetOutOfReach, QueueTimeout, NoEndpoint, ZoneCutOff,
 	ClaimUnavailable, KeyReused, KeyExpired, DuplicateRunning,
 	DeadlineExceeded, RetryBudget, PromptQuarantined,
-	EndpointRefused, EndpointUnreachable, EndpointLost, EndpointSilent, EndpointLeaving,
+	EndpointRefused, EndpointLimit, EndpointUnreachable, EndpointLost, EndpointSilent, EndpointLeaving,
 	AnswerGap, AnswerMismatch, HostStopping, HostFull, NoConfiguration, CallerGone, AlreadyRan,
 }
 
