--- a/internal/process/scaling/scaling_test.go
+++ b/internal/process/scaling/scaling_test.go
@@ -33,6 +33,20 @@
 	return stable, reclaimable
 }
 
+// Overload: when more endpoints are needed than there may be, all calls are late with any
+// number of them. The orders must not fall to the minimum for that.
+func TestOverloadOrdersAllEndpoints(t *testing.T) {
+	c := qt.New(t)
+	previous := 0
+	for _, busy := range []float64{4, 12, 24, 36, 60, 200} {
+		z := scaling.Zone{Stable: 1, Reclaimable: 4, Ordered: 4, Initial: 4}
+		stable, reclaimable := totals(scaling.Plan(bounds, loadOf(busy), zones(z, z, z), true))
+		c.Check(stable+reclaimable >= previous, qt.IsTrue, qt.Commentf("%d endpoints at a load of %v, %d at a lower one", stable+reclaimable, busy, previous))
+		previous = stable + reclaimable
+	}
+	c.Check(previous, qt.Equals, 3*bounds.Max)
+}
+
 // Initial fleet: no stable endpoint is released until a reclaimable one serves in
 // its place; then all but the minimum are released.
 func TestInitialFleetIsReplacedOneForOne(t *testing.T) {
