process/scaling: make up for what endpoints with limits refuse

Callers were served late, or refused, for 8 s after endpoints had named limits: orders counted each of them as a whole endpoint until the demand that was left to the others had pushed the expected load up.

An endpoint that has named a limit now counts for that many calls of the mean size, and the difference is missing from the number that serves. Ruled out as a remedy: more calls to the limited endpoints, since theirs is the limit.

TestEndpointsWithLimitsAreMadeUpFor is new.

--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -241,6 +241,7 @@
 	if demand.busy > 0 {
 		load.Residual = time.Duration(demand.squares / (2 * demand.busy) * float64(time.Second))
 	}
+	load.Missing = p.g.missingEndpoints(s.ID, demand)
 	load.Slack = max(s.LatencyTarget/minSlackDivisor, s.LatencyTarget-estimate.Base-load.Residual)
 	return load
 }
@@ -275,5 +276,5 @@
 	p.g.raiseFenceIfUnanswered(err)
 	p.lastOrders[key] = order{fence: fence, desired: desired, orderedAt: time.Now(), accepted: err == nil}
 	p.g.log.Info("endpoints_ordered", "service", key.service, "zone", key.zone, "reclaimable", key.reclaimable,
-		"desired", desired, "present", present, "busy", load.Busy, "residual", load.Residual, "slack", load.Slack, "fence", fence, "error", err)
+		"desired", desired, "present", present, "busy", load.Busy, "missing", load.Missing, "residual", load.Residual, "slack", load.Slack, "fence", fence, "error", err)
 }
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -6,6 +6,7 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
 // turn returns this host's turn at endpoints that have named a limit. The hosts of a mesh
@@ -33,6 +34,22 @@
 	return limit.Turn{Index: zone*neighbour.RelaysPerZone + rank, Of: len(g.self.Regions) * neighbour.RelaysPerZone}
 }
 
+// missingEndpoints returns how many endpoints' worth of work the endpoints of a service
+// refuse. One that has named a limit takes that many calls, at most of the size that
+// calls have when weighted by their time.
+func (g *Gateway) missingEndpoints(service identity.Service, demand serviceDemand) float64 {
+	if demand.busy <= 0 {
+		return 0
+	}
+	missing := 0.0
+	for _, e := range g.balancer.Endpoints(service) {
+		if perSecond, limited := g.limits.Limited(e.Incarnation); limited && !e.Leaving {
+			missing += max(0, 1-perSecond*demand.squares/demand.busy)
+		}
+	}
+	return missing
+}
+
 // limitedEndpoints returns the number of endpoints that have named a limit.
 func (g *Gateway) limitedEndpoints() int {
 	count := 0
--- a/internal/process/scaling/load.go
+++ b/internal/process/scaling/load.go
@@ -16,6 +16,9 @@
 	// Slack is how long a call may wait for an endpoint and still meet its latency
 	// target.
 	Slack time.Duration
+	// Missing is how many endpoints' worth of work the present endpoints refuse, because
+	// they have named limits.
+	Missing float64
 }
 
 // Late returns the share of calls that miss their latency target with a number of
@@ -25,7 +28,7 @@
 	if l.Busy <= 0 {
 		return 0
 	}
-	if endpoints <= 0 {
+	if endpoints -= l.Missing; endpoints <= 0 {
 		return 1
 	}
 	best := 1.0
--- a/internal/process/scaling/scaling_test.go
+++ b/internal/process/scaling/scaling_test.go
@@ -33,6 +33,18 @@
 	return stable, reclaimable
 }
 
+// Endpoints that have named limits take up their places, but not their calls.
+func TestEndpointsWithLimitsAreMadeUpFor(t *testing.T) {
+	c := qt.New(t)
+	z := scaling.Zone{Stable: 1, Reclaimable: 4, Ordered: 4, Initial: 4}
+	load := loadOf(5)
+	stable, reclaimable := totals(scaling.Plan(bounds, load, zones(z, z, z), true))
+	without := stable + reclaimable
+	load.Missing = 6
+	stable, reclaimable = totals(scaling.Plan(bounds, load, zones(z, z, z), true))
+	c.Assert(stable+reclaimable >= without+6, qt.IsTrue, qt.Commentf("%d endpoints, %d without limits", stable+reclaimable, without))
+}
+
 // Overload: when more endpoints are needed than there may be, all calls are late with any
 // number of them. The orders must not fall to the minimum for that.
 func TestOverloadOrdersAllEndpoints(t *testing.T) {
