process/limit, gateway: all hosts of a relayed fleet take turns

With all endpoints of a service limited, hosts of a large fleet that are not relays refused every call, although the limits were not used up: only the relays of each zone had turns, being the hosts that know each other.

Relays now list their zone's hosts in their reports while there are limits, and the zones, and in each zone its hosts, take turns. Slots of large fleets are shorter than the time between two calls of a host; half a second of them make a window, in which the hosts may use each other's.

Module test: 25 and 64 hosts in six zones at 1 to 100 calls a second, at least half of the limit used.

--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 
 	"github.com/dandelionlift/dandelionlift/internal/process/limit"
@@ -9,29 +10,48 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-// turn returns this host's turn at endpoints that have named a limit. The hosts of a mesh
-// take turns in the order of addresses; those that were heard lately count, so that a
-// host that hears no one does not act as the only one. Of a relayed fleet the relays take
-// turns, in the order of zones: they are few, and know which they are.
+// turn returns this host's turn at endpoints that have named a limit, in the order of
+// addresses. In a mesh the hosts that were heard lately count as well, so that one that
+// hears nobody does not act as the only one. In a relayed fleet a host learns from its
+// relays which hosts its zone has.
 func (g *Gateway) turn(heard []neighbour.ReceivedReport) limit.Turn {
-	lower := func(inZone bool) (count int) {
+	if !g.neighbours.Relayed() {
+		lower := 0
 		for i := range heard {
-			r := &heard[i].Report
-			if r.Hosts == 0 && (!inZone || r.Zone == g.self.Zone) && r.Address.Compare(g.self.Address) < 0 {
-				count++
+			if heard[i].Address.Compare(g.self.Address) < 0 {
+				lower++
 			}
 		}
-		return count
+		return limit.Turn{Zones: 1, Host: lower, Hosts: max(len(heard)+1, g.neighbours.HostCount(hostCountWindow))}
 	}
-	if !g.neighbours.Relayed() {
-		return limit.Turn{Index: lower(false), Of: max(len(heard)+1, g.neighbours.HostCount(hostCountWindow))}
+	hosts := g.zoneHosts(heard)
+	turn := limit.Turn{
+		Zone: slices.Index(slices.Sorted(maps.Keys(g.self.Regions)), g.self.Zone), Zones: len(g.self.Regions),
+		Host: slices.Index(hosts, g.self.Address), Hosts: len(hosts),
 	}
-	zone := slices.Index(slices.Sorted(maps.Keys(g.self.Regions)), g.self.Zone)
-	rank := lower(true)
-	if zone < 0 || rank >= neighbour.RelaysPerZone {
+	if turn.Zone < 0 || turn.Host < 0 {
 		return limit.Turn{}
 	}
-	return limit.Turn{Index: zone*neighbour.RelaysPerZone + rank, Of: len(g.self.Regions) * neighbour.RelaysPerZone}
+	return turn
+}
+
+// zoneHosts returns the addresses of this zone's live hosts, as seen by the relay with
+// the lowest address.
+func (g *Gateway) zoneHosts(heard []neighbour.ReceivedReport) []netip.AddrPort {
+	if g.neighbours.IsRelay() {
+		return g.neighbours.ZoneHosts()
+	}
+	var lowest *neighbour.Report
+	for i := range heard {
+		r := &heard[i].Report
+		if r.Zone == g.self.Zone && len(r.ZoneHosts) > 0 && (lowest == nil || r.Address.Compare(lowest.Address) < 0) {
+			lowest = r
+		}
+	}
+	if lowest == nil {
+		return nil
+	}
+	return lowest.ZoneHosts
 }
 
 // missingEndpoints returns how many endpoints' worth of work the endpoints of a service
--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -40,6 +40,9 @@
 		Quarantine:   g.quarantine.Evidence(g.neighbours.Relayed() && g.neighbours.IsRelay()),
 		WatchesStore: g.neighbours.IsRelay() && !g.storeFailing(),
 	}
+	if len(r.Limits) > 0 && g.neighbours.Relayed() && g.neighbours.IsRelay() {
+		r.ZoneHosts = g.neighbours.ZoneHosts()
+	}
 	if fence, ok := g.elector.Fence(); ok {
 		r.Leader = &neighbour.Leader{Fence: fence}
 	}
--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -14,10 +14,12 @@
 // The rate is often less than the number of hosts, so that a host's share is less than
 // one call for many seconds, and shares saved up by all hosts would come at once. Hosts
 // therefore take turns: time is divided into slots of one call each, and a host may send
-// one call in the slots that are its own. What a host does not use lapses. Each host uses
-// the same fraction of all slots whatever its clock says, so that the sum holds even if
-// hosts disagree on the time. If the rate is so high that each host's share is a call a
-// second, a host sends its calls at any time, one period apart and at most two at once.
+// one call in the slots that are its own. Slots may be shorter than the time between two
+// calls that arrive at a host, so that the hosts of a window of slots, half a second or
+// more, may use each other's. What a host does not use lapses. Each host uses the same
+// fraction of all slots whatever its clock says, so that the sum holds even if hosts
+// disagree on the time. Where each host's share is a call in two seconds or more, a host
+// sends its calls at any time, evenly spaced.
 package limit
 
 import (
@@ -37,6 +39,12 @@
 	minPerSecond = 0.1
 	// maxPerSecond is a rate that no endpoint reaches.
 	maxPerSecond = 1e6
+	// pairPeriod and evenPeriod are the longest times from one slot of a host to the next
+	// with which it sends calls at any time: two at once if it has not sent any for as long,
+	// or one. The calls of all hosts may come at once; for longer periods that would be too
+	// many in a few seconds.
+	pairPeriod = time.Second
+	evenPeriod = 2 * time.Second
 	// recent is how long a host that does not speak for others reports a limit after it
 	// was named to it.
 	recent = 5 * time.Second
@@ -56,11 +64,22 @@
 
 func bounded(perSecond float64) float64 { return min(maxPerSecond, max(minPerSecond, perSecond)) }
 
-// Turn is a host's place among those that send calls to limited endpoints. The zero Turn
-// never comes.
+// Turn is a host's place among all hosts: the zones have slots in turn, and each zone's
+// hosts have its slots in turn. The zero Turn never comes.
 type Turn struct {
-	// Index is at least zero and less than Of, the number of these hosts.
-	Index, Of int
+	// Zone is at least zero and less than Zones, Host less than Hosts, the number of hosts
+	// of the zone.
+	Zone, Zones int
+	Host, Hosts int
+}
+
+// hosts returns the number of hosts that take turns, if those of all zones are as many.
+func (t Turn) hosts() int { return t.Zones * t.Hosts }
+
+// has reports whether a slot is this host's.
+func (t Turn) has(slot int64) bool {
+	zones := int64(t.Zones)
+	return slot%zones == int64(t.Zone) && slot/zones%int64(t.Hosts) == int64(t.Host)
 }
 
 // Limits holds the limits of endpoints as known to one host. Create one with New.
@@ -92,7 +111,7 @@
 
 // New returns Limits of a host that is the only one.
 func New(options ...Option) *Limits {
-	l := &Limits{now: time.Now, turn: Turn{Of: 1}, endpoints: make(map[identity.Incarnation]*endpointLimit)}
+	l := &Limits{now: time.Now, turn: Turn{Zones: 1, Hosts: 1}, endpoints: make(map[identity.Incarnation]*endpointLimit)}
 	for _, option := range options {
 		option(l)
 	}
@@ -217,7 +236,7 @@
 // times returns the length of a slot, and the time from one slot of this host to the next.
 func (t Turn) times(e *endpointLimit) (slot, period time.Duration) {
 	slot = time.Duration(float64(time.Second) / (usedRatio * e.newest.PerSecond))
-	return slot, slot * time.Duration(t.Of)
+	return slot, slot * time.Duration(t.hosts())
 }
 
 func later(a, b time.Time) time.Time {
@@ -229,19 +248,36 @@
 
 // opens reports whether a call may be sent now.
 func (t Turn) opens(now time.Time, e *endpointLimit) bool {
-	if t.Of <= 0 {
+	if t.hosts() <= 0 {
 		return false
 	}
 	slot, period := t.times(e)
-	if period <= time.Second {
-		// A clock that has been set back must not stop this host for long.
-		return !now.Before(e.due) || e.due.Sub(now) > 2*period
-	}
 	since := now.Sub(e.taken)
-	// A call may come late in one slot and early in the next of this host's. The limit may
-	// also have changed since the last one, and with it the slots.
-	if since >= 0 && since < max(period-slot, slot/2) {
+	// A clock that has been set back must not stop this host for long.
+	switch setBack := since < 0; {
+	case period <= pairPeriod:
+		return !now.Before(e.due) || setBack
+	case period <= evenPeriod:
+		return since >= period || setBack
+	}
+	slots := slotsPerWindow(e.newest.PerSecond)
+	window := slot * time.Duration(slots)
+	// A call may come late in one window and early in the next of this host's. The limit
+	// may also have changed since the last one, and with it the windows.
+	if since >= 0 && since < max(period-window, window/2) {
 		return false
 	}
-	return int((now.UnixNano()/int64(slot))%int64(t.Of)) == t.Index
+	first := now.UnixNano() / int64(window) * slots
+	for i := range slots {
+		if t.has(first + i) {
+			return true
+		}
+	}
+	return false
+}
+
+// slotsPerWindow returns how many slots a window has, about half a second's worth. The
+// calls of two windows may come at once.
+func slotsPerWindow(perSecond float64) int64 {
+	return 1 + int64(perSecond/2)
 }
--- a/internal/process/limit/limit_test.go
+++ b/internal/process/limit/limit_test.go
@@ -31,7 +31,9 @@
 	now       time.Time
 	perSecond func(elapsed time.Duration) float64
 	hosts     []*host
-	sent      []time.Time
+	// zones is the number of zones; the hosts are in them by turns.
+	zones int
+	sent  []time.Time
 }
 
 // host is one of the hosts. Its clock is skewed; it hears nobody while it is cut off.
@@ -43,7 +45,7 @@
 }
 
 func newFleet(seed uint64, hosts int, callsPerSecond float64, perSecond func(time.Duration) float64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1_000_000, 0), perSecond: perSecond}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1_000_000, 0), perSecond: perSecond, zones: 1}
 	f.now = f.start
 	for range hosts {
 		f.hosts = append(f.hosts, f.newHost(callsPerSecond))
@@ -59,17 +61,21 @@
 
 func (f *fleet) elapsed() time.Duration { return f.now.Sub(f.start) }
 
-// setTurns gives each host its turn by the hosts that it hears. All of those that ever
-// were count, as they do for a while in a mesh.
+// setTurns gives each host its turn by the hosts of its zone that it hears. All of those
+// that ever were count, as they do for a while in a mesh.
 func (f *fleet) setTurns() {
 	for i, h := range f.hosts {
-		index := 0
-		for _, other := range f.hosts[:i] {
-			if !other.stopped && !other.cutOff && !h.cutOff {
-				index++
+		turn := limit.Turn{Zone: i % f.zones, Zones: f.zones}
+		for j, other := range f.hosts {
+			if j%f.zones != turn.Zone {
+				continue
+			}
+			turn.Hosts++
+			if j < i && !other.stopped && !other.cutOff && !h.cutOff {
+				turn.Host++
 			}
 		}
-		h.SetTurn(limit.Turn{Index: index, Of: len(f.hosts)})
+		h.SetTurn(turn)
 	}
 }
 
@@ -147,6 +153,21 @@
 	}
 }
 
+// The zones of a large fleet share a limit, however many hosts each has.
+func TestZonesShareTheLimit(t *testing.T) {
+	c := qt.New(t)
+	for _, hosts := range []int{25, 64} {
+		for _, perSecond := range []float64{1, 2.7, 20, 100} {
+			f := newFleet(uint64(hosts), hosts, 8, constant(perSecond))
+			f.zones = 6
+			f.run(30*time.Second, nil)
+			allowed := excess*perSecond*window.Seconds() + slack
+			c.Check(float64(f.busiest()) <= allowed, qt.IsTrue, qt.Commentf("%d hosts: %d calls, allowed %.1f", hosts, f.busiest(), allowed))
+			c.Check(float64(len(f.sent)) > 0.5*perSecond*30, qt.IsTrue, qt.Commentf("%d hosts, %v: %d calls in 30 s", hosts, perSecond, len(f.sent)))
+		}
+	}
+}
+
 // Hosts that start know no limit and are told late; others stop, or are cut off and hear
 // no one. The rest must not get more for it.
 func TestLimitIsKeptWhileHostsComeAndGo(t *testing.T) {
--- a/internal/process/neighbour/report.go
+++ b/internal/process/neighbour/report.go
@@ -69,6 +69,9 @@
 	Leaving []identity.Incarnation `json:"leave,omitempty"`
 	// Limits holds the limits that endpoints have named, those that have ended included.
 	Limits map[identity.Incarnation]limit.Named `json:"lim,omitempty"`
+	// ZoneHosts lists the live hosts of a relay's zone in the order of addresses, while
+	// there are Limits: the hosts of the zone share them.
+	ZoneHosts []netip.AddrPort `json:"zh,omitempty"`
 	// Quarantine holds what the sender knows of prompts that crash endpoints.
 	Quarantine quarantine.Evidence `json:"quar,omitzero"`
 	// Leader is set while the sender is the leader.
--- a/internal/process/neighbour/zone.go
+++ b/internal/process/neighbour/zone.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
@@ -88,6 +89,19 @@
 	return live
 }
 
+// ZoneHosts returns the addresses of this host and the other live hosts of its zone, in
+// order.
+func (n *Neighbours) ZoneHosts() []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	hosts := []netip.AddrPort{n.self}
+	for _, received := range n.liveInZone(n.zone) {
+		hosts = append(hosts, received.Address)
+	}
+	slices.SortFunc(hosts, netip.AddrPort.Compare)
+	return hosts
+}
+
 // storeAggregates stores the newest aggregate of each zone. It returns the new
 // ones that report carries; report itself is not among them if it is an aggregate.
 func (n *Neighbours) storeAggregates(report Report) []Report {
