process/entry: bound the engines that one request may lose

A request now fails, as may_have_run, once four engines have broken off its answer. Engines that leave or fall silent don't count, so that reclaims and half-open connections are resumed as before.

Plain calls had a bound already: eight attempts, and one if they are not idempotent.

--- a/internal/process/entry/assemble.go
+++ b/internal/process/entry/assemble.go
@@ -65,15 +65,17 @@
 }
 
 // assemble makes attempts until the answer is complete or can't be completed.
-// Each attempt that delivers tokens restarts the count towards maxAttempts.
+// Each attempt that delivers tokens restarts the count towards maxAttempts, but not that
+// towards maxLostEngines.
 func (s *Server) assemble(ctx context.Context, tracked trackedRequest) {
 	ctx, cancel := withDeadline(ctx, tracked.call.Deadline)
 	defer cancel()
 	failure := verdict.New(verdict.NotRun, verdict.NoEndpoint, "")
 	var tried []identity.Incarnation
 	attemptsSinceProgress, offset := 0, tracked.answer.TokenCount()
+	lostEngines := 0
 	var leavingEndpoint fleet.Endpoint
-	for attemptsSinceProgress < maxAttempts {
+	for attemptsSinceProgress < maxAttempts && lostEngines < maxLostEngines {
 		endpoint, ok := s.chooseOrWait(ctx, tracked, &tried, attemptsSinceProgress > 0 || offset > 0)
 		if !ok {
 			break
@@ -94,6 +96,9 @@
 		if failure.Reason == verdict.EndpointLeaving {
 			leavingEndpoint = endpoint
 		}
+		if failure.Reason == verdict.EndpointLost && failure.Verdict != verdict.NotRun {
+			lostEngines++
+		}
 		attemptsSinceProgress++
 		if now := tracked.answer.TokenCount(); now > offset {
 			attemptsSinceProgress, offset = 1, now
--- a/internal/process/entry/completion.go
+++ b/internal/process/entry/completion.go
@@ -29,6 +29,10 @@
 	// maxAttempts bounds the attempts of a plain call, and those of a model call
 	// since the last one that delivered tokens.
 	maxAttempts = 8
+	// maxLostEngines is how many engines may break off the answer to a request, whether
+	// they have delivered tokens or not: the request may be what crashes them. Engines
+	// that leave, or fall silent, don't count.
+	maxLostEngines = 4
 )
 
 // completionBody is the body of a completion request. Chat requests have
--- a/internal/process/entry/fixture_test.go
+++ b/internal/process/entry/fixture_test.go
@@ -59,6 +59,8 @@
 	snapshot atomic.Pointer[fleet.Snapshot]
 	// ranRequests holds the ids of the requests that ledgers ran.
 	ranRequests sync.Map
+	// engineWriter, if set, replaces the writer of an engine's answer.
+	engineWriter func(w http.ResponseWriter, r *http.Request) http.ResponseWriter
 	// ledgerHook, if set, is called before a ledger handles a call. It returns
 	// true if it has answered the call itself.
 	ledgerHook  func(w http.ResponseWriter, r *http.Request) bool
@@ -118,6 +120,9 @@
 		if r.URL.Path == engine.CancelPath {
 			d.cancels.Add(1)
 		}
+		if d.engineWriter != nil {
+			w = d.engineWriter(w, r)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
