--- a/internal/process/neighbour/neighbour_test.go
+++ b/internal/process/neighbour/neighbour_test.go
@@ -151,9 +151,10 @@
 	c := qt.New(t)
 	hosts := startHosts(t, 36, 2)
 	c.Assert(waitForAgreement(hosts), qt.IsNil)
-	// Reports that hosts sent to all before they heard relays are forgotten within
-	// this time.
-	time.Sleep(2 * time.Second)
+	// A host that took itself for a relay before it heard two others counts as one to
+	// the others for as long as its last report lives, and keeps what they send it
+	// meanwhile for as long again: 1.5 s each.
+	time.Sleep(3500 * time.Millisecond)
 	for _, h := range hosts {
 		if h.IsRelay() {
 			continue
