process/forward: count calls that find no endpoint as demand

Callers that were refused because all endpoints of a service were gone, or had named limits that are used up, did not count as demand, so that the orders for endpoints fell just when there were too few. Since endpoints may name limits this is no longer only the case of an empty service.

Demand is now counted when a call is offered, whether an endpoint is found or not; with its whole prompt if not. TestCallWithoutEndpointCountsAsDemand fails with the call in its old place (0 in place of 1).

--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -67,9 +67,10 @@
 	Protocol Protocol
 	// OnExecuted is called once for each call that an endpoint started to execute.
 	OnExecuted func(organisation identity.Organisation)
-	// OnChosen is called one time for each call, when an endpoint has been found
-	// for it, with the uncached prompt tokens, before the call is sent or refused.
-	OnChosen func(c *Call, uncached unit.Tokens)
+	// OnOffered is called one time for each call that is within its organisation's limit,
+	// before it is sent or refused, with the prompt tokens expected to be uncached: all of
+	// them if there is no endpoint for it.
+	OnOffered func(c *Call, uncached unit.Tokens)
 	// OnMisdirected is called with an endpoint whose address now belongs to another
 	// one.
 	OnMisdirected func(identity.Incarnation)
@@ -89,7 +90,7 @@
 // New returns a Forwarder.
 func New(pool *endpoint.Pool, b *balance.Balancer, q *quota.Quota, budget *retry.Budget, m *meter.Meter) *Forwarder {
 	return &Forwarder{
-		OnExecuted: func(identity.Organisation) {}, OnChosen: func(*Call, unit.Tokens) {}, OnMisdirected: func(identity.Incarnation) {}, Log: slog.Default(),
+		OnExecuted: func(identity.Organisation) {}, OnOffered: func(*Call, unit.Tokens) {}, OnMisdirected: func(identity.Incarnation) {}, Log: slog.Default(),
 		Quarantine: quarantine.New(), Limits: limit.New(),
 		pool: pool, balancer: b, quota: q, budget: budget, meter: m,
 	}
@@ -121,6 +122,8 @@
 	// limit is the limit that the endpoint named in its latest answer, if limited is set.
 	limit   float64
 	limited bool
+	// offered is set once OnOffered has been called.
+	offered bool
 	// counted is set once OnExecuted has been called.
 	counted bool
 	// errorAnswer is an endpoint's 5xx answer, passed on if all other attempts
@@ -223,21 +226,31 @@
 		k.call.Avoid = nil
 		choice, found = k.f.balancer.Choose(time.Now(), k.call)
 	}
+	k.recordOffered(choice, found)
 	if !found && k.f.balancer.Limited(k.Service.ID) {
 		return choice, refused(verdict.EndpointLimit, longRetryAfter)
 	}
 	if !found {
 		return choice, refused(verdict.NoEndpoint, longRetryAfter)
 	}
-	if k.sends == 0 {
-		k.f.OnChosen(k.Call, choice.Uncached)
-	}
 	if k.sends == 0 && !choice.LightlyLoaded && choice.Wait > k.maxWait() {
 		return choice, refused(verdict.TargetOutOfReach, max(shortRetryAfter, choice.Wait-k.maxWait()))
 	}
 	return choice, nil
 }
 
+func (k *forwarding) recordOffered(choice balance.Choice, found bool) {
+	switch {
+	case k.offered:
+		return
+	case found:
+		k.f.OnOffered(k.Call, choice.Uncached)
+	default:
+		k.f.OnOffered(k.Call, k.Prompt)
+	}
+	k.offered = true
+}
+
 func refused(reason verdict.Reason, retryAfter time.Duration) *verdict.Error {
 	failure := verdict.New(verdict.NotRun, reason, "")
 	failure.RetryAfter = retryAfter
--- a/internal/process/forward/forward_test.go
+++ b/internal/process/forward/forward_test.go
@@ -27,6 +27,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+	"github.com/dandelionlift/dandelionlift/internal/version/unit"
 )
 
 // testEnv is a forwarder with some endpoints, each implemented by an HTTP handler.
@@ -255,6 +256,18 @@
 	c.Assert(env.receivers(), qt.Equals, "a")
 }
 
+// Demand is what callers offer: if calls that find no endpoint did not count, the orders
+// for endpoints would fall when there are too few.
+func TestCallWithoutEndpointCountsAsDemand(t *testing.T) {
+	c := qt.New(t)
+	env := newTestEnv(c)
+	offered := 0
+	env.forwarder.OnOffered = func(*forward.Call, unit.Tokens) { offered++ }
+	_, _, failure := env.serve(catalogue.Idempotent, false, 2)
+	c.Assert(failure.Reason, qt.Equals, verdict.NoEndpoint)
+	c.Assert(offered, qt.Equals, 1)
+}
+
 func TestCallWithoutEndpointIsRefused(t *testing.T) {
 	c := qt.New(t)
 	env := newTestEnv(c)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -184,7 +184,7 @@
 	g.forwarder.Protocol, g.forwarder.Log, g.forwarder.Quarantine = platform.Protocol, log, g.quarantine
 	g.forwarder.Limits = g.limits
 	g.forwarder.OnExecuted = func(id identity.Organisation) { g.usage.RecordCall(g.clock.Now(), id) }
-	g.forwarder.OnChosen, g.forwarder.OnMisdirected = g.recordDemand, g.onMisdirected
+	g.forwarder.OnOffered, g.forwarder.OnMisdirected = g.recordDemand, g.onMisdirected
 	g.liveReports.Store(new([]neighbour.ReceivedReport))
 	g.heardReports.Store(new([]neighbour.ReceivedReport))
 	g.endpoints.Store(new([]fleet.Endpoint))
