--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -171,8 +171,9 @@
 	}
 }
 
-// Reported returns the limits for this host's report: those that were named to it lately
-// or, for a host that speaks for others, all.
+// Reported returns the limits for this host's report: those that were named to it, or
+// ended, lately or, for a host that speaks for others, all in force and those that ended
+// lately.
 func (l *Limits) Reported(all bool) map[identity.Incarnation]Named {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -182,6 +183,10 @@
 		if !all && now.Sub(time.UnixMilli(e.heardMillis)) > recent {
 			continue
 		}
+		// A host that does not hear that a limit has ended gets answers without it.
+		if !e.newest.limited() && now.Sub(time.UnixMilli(e.newest.AtMillis)) > recent {
+			continue
+		}
 		if reported == nil {
 			reported = make(map[identity.Incarnation]Named)
 		}
@@ -256,7 +261,7 @@
 	// A clock that has been set back must not stop this host for long.
 	switch setBack := since < 0; {
 	case period <= pairPeriod:
-		return !now.Before(e.due) || setBack
+		return !now.Before(e.due) || since >= period || setBack
 	case period <= evenPeriod:
 		return since >= period || setBack
 	}
--- a/internal/process/limit/limit_test.go
+++ b/internal/process/limit/limit_test.go
@@ -218,6 +218,25 @@
 	}
 }
 
+// Reports must not grow by all endpoints that ever named a limit, nor a rate that rises
+// keep a host from sending for as long as the lower one would.
+func TestEndedAndRisenLimitsLeaveNothingBehind(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	l := limit.New(limit.WithClock(func() time.Time { return now }))
+	l.SetTurn(limit.Turn{Zones: 1, Hosts: 8})
+	l.Record(id, 0.2, true, 0)
+	l.Take(id)
+	now = now.Add(time.Second)
+	l.Record(id, 100, true, 0)
+	c.Assert(l.Open(id), qt.IsTrue)
+	now = now.Add(time.Second)
+	l.Record(id, 0, false, 0)
+	c.Assert(l.Reported(true), qt.HasLen, 1)
+	now = now.Add(time.Minute)
+	c.Assert(l.Reported(true), qt.HasLen, 0)
+}
+
 // An answer to a call that was sent before the limit was named does not end it.
 func TestOlderAnswerDoesNotEndTheLimit(t *testing.T) {
 	c := qt.New(t)
