--- a/internal/process/limit/limit_test.go
+++ b/internal/process/limit/limit_test.go
@@ -218,6 +218,23 @@
 	}
 }
 
+// An endpoint that has named no limit must not be held to that of another one, nor to one
+// of which this host has heard that it has ended.
+func TestEndpointsWithoutLimitStayOpen(t *testing.T) {
+	c := qt.New(t)
+	l := limit.New()
+	l.SetTurn(limit.Turn{})
+	l.Record(id, 1, true, 0)
+	l.Merge(map[identity.Incarnation]limit.Named{"ended": {AtMillis: 1}})
+	c.Assert(l.Open(id), qt.IsFalse)
+	for range 20 {
+		for _, other := range []identity.Incarnation{"other", "ended"} {
+			c.Assert(l.Open(other), qt.IsTrue)
+			l.Take(other)
+		}
+	}
+}
+
 // Reports must not grow by all endpoints that ever named a limit, nor a rate that rises
 // keep a host from sending for as long as the lower one would.
 func TestEndedAndRisenLimitsLeaveNothingBehind(t *testing.T) {
--- a/internal/process/quarantine/decide.go
+++ b/internal/process/quarantine/decide.go
@@ -36,9 +36,9 @@
 }
 
 // Decide quarantines the parts that are the cause of crashes and releases those that
-// are not. endpoints is the number of endpoints of each service. Crashes younger than settled
-// don't count yet: that is the time in which all hosts hear of a crash and this one
-// hears what calls they have answered since.
+// are not. endpoints is the number of endpoints of each service. Crashes younger than
+// settled don't count yet: that is the time in which all hosts hear of a crash and this
+// one hears what calls they have answered since.
 func (q *Quarantine) Decide(endpoints map[identity.Service]int, settled time.Duration) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -108,7 +108,7 @@
 	return q
 }
 
-// Attempt is a call, or a part of one, at an endpoint.
+// Attempt is one try of a call at an endpoint.
 type Attempt struct {
 	Service  identity.Service
 	Endpoint identity.Incarnation
--- a/internal/process/quarantine/simulation_test.go
+++ b/internal/process/quarantine/simulation_test.go
@@ -291,6 +291,7 @@
 				t.Logf("seed %d: %d crashes, %d deadly calls sent, %d late, %d of %d sound calls refused", seed, s.crashes, s.deadlySends, s.lateSends, s.soundRefused, s.sound)
 				c.Check(s.lateSends <= maxLateSends, qt.IsTrue, qt.Commentf("seed %d: %d late calls", seed, s.lateSends))
 				c.Check(s.wrong, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+				c.Check(s.soundRefused, qt.Equals, 0, qt.Commentf("seed %d", seed))
 			}
 		})
 	}
