--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -211,6 +211,7 @@
 	for _, v := range listing.Values {
 		c.Items = append(c.Items, Item{Key: v.Key, Data: v.Data, Revision: v.Revision})
 	}
+	m.Log.Info("store_read", "prefix", prefix, "items", len(c.Items), "as_of", c.AsOf, "before", m.AsOf(prefix))
 	m.merge(c)
 	return nil
 }
