connection/keyvalue, platform: revisions of a restored store are higher

Cause: a restored store numbers its writes and leases anew from the copy's revision. The mirror takes only a value with a higher revision, so it dropped all that was read until the numbers had passed those of the lost writes; its watch after a lost revision was refused each time. What is read from a store was compared by a number that orders writes only while the store keeps them.

Ruled out: hosts that can't read (the log shows complete reads every half second) and the guard on configuration versions.

Change: Revision and LeaseID hold the store's era above its number. Copies between hosts compare revisions as before and are complete from one era to the next. Fences, which are revisions, rise across a restoration.

--- a/internal/connection/keyvalue/message.go
+++ b/internal/connection/keyvalue/message.go
@@ -28,7 +28,8 @@
 // KeysPath is the path prefix of the keys.
 const KeysPath = "/v1/keys"
 
-// Revision orders all writes of the service; zero means absent.
+// Revision orders all writes of the service; zero means absent. It also holds the Era
+// of a store that can be restored from an older copy.
 type Revision uint64
 
 // Value is one stored key.
--- a/internal/connection/keyvalue/range.go
+++ b/internal/connection/keyvalue/range.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -13,10 +14,18 @@
 	ErrCompacted = errors.New("keyvalue: history compacted")
 	// ErrNoLease says that the lease has ended.
 	ErrNoLease = errors.New("keyvalue: no such lease")
+	// ErrRestored says that the store was restored from an older copy after it gave
+	// out a lease or revision that the call names, and that the call had no effect.
+	// It is an ErrNoLease.
+	ErrRestored = fmt.Errorf("%w: store restored from an older copy", ErrNoLease)
 )
 
-// LeaseID identifies a lease of the service; zero means no lease.
-type LeaseID uint64
+// LeaseID identifies a lease of the service; the zero value means no lease.
+type LeaseID struct {
+	// Number is the service's own number of the lease, Era that in which it was granted.
+	Number uint64
+	Era    Era
+}
 
 // Listing is the result of reading a range of keys. Its pages are not one
 // snapshot: a value may be newer than AsOf, which is the service's revision
@@ -70,14 +79,14 @@
 	Range func(ctx context.Context, prefix string) (Listing, error)
 	// Changes waits for changes under a prefix after a revision. If wait ends
 	// first it returns no changes and no error. ErrCompacted says that the
-	// service no longer has the history after that revision.
+	// service no longer has the history after that revision, or was restored since.
 	Changes func(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
-	// Commit executes a transaction. ErrConflict and ErrNoLease say that it had
-	// no effect. ErrAmbiguous leaves that open: it may even take effect later.
+	// Commit executes a transaction. ErrConflict, ErrNoLease and ErrRestored say that
+	// it had no effect. ErrAmbiguous leaves that open: it may even take effect later.
 	Commit func(ctx context.Context, t Transaction) (Revision, error)
 	// Grant creates a lease, whose time to live starts when the call arrives.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// KeepAlive renews a lease, or returns ErrNoLease.
+	// KeepAlive renews a lease, or returns ErrNoLease or ErrRestored.
 	KeepAlive func(ctx context.Context, lease LeaseID) error
 	// Revoke revokes a lease and deletes its keys.
 	Revoke func(ctx context.Context, lease LeaseID) error
--- a/internal/process/duty/duty_test.go
+++ b/internal/process/duty/duty_test.go
@@ -89,9 +89,9 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if err := prepare(); err != nil {
-				return 0, err
+				return keyvalue.LeaseID{}, err
 			}
-			s.next++
+			s.next.Number++
 			s.extend(s.next, ttl)
 			return s.next, nil
 		},
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -34,6 +35,48 @@
 	revision keyvalue.Revision
 	values   map[string]keyvalue.Value
 	down     bool
+	// getErr is the error of reading one key: nobody can become the leader unless it is
+	// keyvalue.ErrAbsent.
+	getErr error
+	// written counts the writes of each of the system's own keys in each era.
+	written map[string]map[keyvalue.Era]int
+}
+
+// commit records a transaction of the system itself, whose keys nothing reads.
+func (s *fakeStore) commit(_ context.Context, t keyvalue.Transaction) (keyvalue.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.written == nil {
+		s.written = make(map[string]map[keyvalue.Era]int)
+	}
+	for _, w := range t.Writes {
+		if s.written[w.Key] == nil {
+			s.written[w.Key] = make(map[keyvalue.Era]int)
+		}
+		s.written[w.Key][s.revision.Era()]++
+	}
+	return s.revision, nil
+}
+
+// waitForWrite waits until a key whose name begins so was written in an era.
+func (s *fakeStore) waitForWrite(c *qt.C, prefix string, era keyvalue.Era) {
+	c.Helper()
+	for range 600 {
+		s.mu.Lock()
+		for key, byEra := range s.written {
+			if strings.HasPrefix(key, prefix) && byEra[era] > 0 {
+				s.mu.Unlock()
+				return
+			}
+		}
+		s.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatalf("%s was not written in era %d", prefix, era)
+}
+
+func newStore() *fakeStore {
+	return &fakeStore{revision: 1, values: make(map[string]keyvalue.Value), getErr: keyvalue.ErrUnavailable}
 }
 
 func (s *fakeStore) set(key, data string) {
@@ -52,6 +95,18 @@
 	}
 }
 
+// restore replaces the contents by older values: the store continues in the next era
+// from revision 1.
+func (s *fakeStore) restore(older map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = keyvalue.NewRevision(s.revision.Era()+1, 1)
+	s.values = make(map[string]keyvalue.Value)
+	for key, data := range older {
+		s.values[key] = keyvalue.Value{Key: key, Data: []byte(data), Revision: s.revision}
+	}
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,24 +148,29 @@
 
 func (s *fakeStore) client() keyvalue.Store {
 	return keyvalue.Store{
-		Range: s.list, Changes: s.watch,
-		Get: func(context.Context, string) (keyvalue.Value, error) {
-			return keyvalue.Value{}, keyvalue.ErrUnavailable
+		Range: s.list, Changes: s.watch, Commit: s.commit,
+		Get: func(context.Context, string) (keyvalue.Value, error) { return keyvalue.Value{}, s.getErr },
+		Grant: func(context.Context, time.Duration) (keyvalue.LeaseID, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return keyvalue.LeaseID{Number: 1, Era: s.revision.Era()}, nil
 		},
-		Grant:     func(context.Context, time.Duration) (keyvalue.LeaseID, error) { return 1, nil },
 		KeepAlive: func(context.Context, keyvalue.LeaseID) error { return nil },
-		Commit:    func(context.Context, keyvalue.Transaction) (keyvalue.Revision, error) { return 1, nil },
 		Revoke:    func(context.Context, keyvalue.LeaseID) error { return nil },
 	}
 }
 
-const reappear = 400 * time.Millisecond
+const (
+	reappear = 400 * time.Millisecond
+	// leaseDuration is short, so that a host acts as the leader soon after its start.
+	leaseDuration = 1500 * time.Millisecond
+)
 
 // startWithEndpoints runs a gateway over a store with a configuration and three
 // endpoints. An endpoint's entry consists of its state.
 func startWithEndpoints(t *testing.T) (*qt.C, *fakeStore, *gateway.Gateway) {
 	c := qt.New(t)
-	s := &fakeStore{revision: 1, values: make(map[string]keyvalue.Value)}
+	s := newStore()
 	s.set("configuration", "3")
 	for i := range 3 {
 		s.set(fmt.Sprint("endpoints/", i), "ready")
@@ -146,7 +206,7 @@
 		Address: netip.MustParseAddrPort(conn.LocalAddr().String()), Seeds: neighbours,
 	}
 	bounds := gateway.Bounds{
-		LeaseDuration: time.Minute, UsageWindow: time.Second, UsageReportDue: time.Second, ReappearTimeout: reappear,
+		LeaseDuration: leaseDuration, UsageWindow: time.Second, UsageReportDue: time.Second, ReappearTimeout: reappear,
 		Retries: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 	}
 	g := gateway.New(self, bounds, platform, conn, meter.New(), slog.New(slog.DiscardHandler))
@@ -272,7 +332,7 @@
 // restart delays the detection that the watch is silent.
 func TestNeighboursCopyReplacesSilentWatch(t *testing.T) {
 	c := qt.New(t)
-	s := &fakeStore{revision: 1, values: make(map[string]keyvalue.Value)}
+	s := newStore()
 	s.set("configuration", "3")
 	silent := s.client()
 	silent.Changes = func(ctx context.Context, _ string, _ keyvalue.Revision, wait time.Duration) (keyvalue.Changes, error) {
@@ -305,7 +365,7 @@
 // tell. The value of another writer must not keep a host from starting.
 func TestStoredQuarantineIsInForceAfterARestart(t *testing.T) {
 	c := qt.New(t)
-	s := &fakeStore{revision: 1, values: make(map[string]keyvalue.Value)}
+	s := newStore()
 	s.set("dandelionlift/quarantine", fmt.Sprintf(`[{"s":"s","p":[666],"t":%d}]`, time.Now().Add(-time.Second).UnixMilli()))
 	s.set("dandelionlift/quarantine2", `{"s":7}`)
 	g, _ := startGateway(c, s.client())
@@ -331,3 +391,33 @@
 	g.Drain()
 	c.Assert(g.Ready(), qt.IsFalse)
 }
+
+// A host that gets no answers since before the store was restored must learn of later
+// configurations from its neighbours, whose revisions are below its own.
+func TestRestoredConfigurationComesFromANeighbour(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	for version := 1; version <= 30; version++ {
+		s.set("configuration", strconv.Itoa(version))
+	}
+	cutOff := &fakeStore{revision: s.revision, values: maps.Clone(s.values), getErr: keyvalue.ErrUnavailable}
+	connected, address := startGateway(c, s.client())
+	unanswered, _ := startGateway(c, cutOff.client(), address)
+	reaches := func(g *gateway.Gateway, version identity.Version) bool {
+		// A configuration must be in force within 2.5 s.
+		for range 25 {
+			if current := g.Catalogue(); current != nil && current.Version == version {
+				return true
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		return false
+	}
+	c.Assert(reaches(connected, 30) && reaches(unanswered, 30), qt.IsTrue)
+	cutOff.setDown(true)
+	s.restore(map[string]string{"configuration": "7"})
+	time.Sleep(time.Second)
+	s.set("configuration", "31")
+	c.Assert(reaches(connected, 31), qt.IsTrue)
+	c.Assert(reaches(unanswered, 31), qt.IsTrue)
+}
--- a/internal/process/gateway/register.go
+++ b/internal/process/gateway/register.go
@@ -55,20 +55,20 @@
 func (g *Gateway) register(ctx context.Context) (keyvalue.LeaseID, error) {
 	lease, err := g.platform.Store.Grant(ctx, registrationTTL)
 	if err != nil {
-		return 0, err
+		return lease, err
 	}
 	_, err = g.platform.Store.Commit(ctx, keyvalue.Transaction{Writes: []keyvalue.Entry{
 		{Key: hostsPrefix + g.self.Address.String(), Data: []byte(g.self.Zone), Lease: lease},
 	}})
 	if err != nil {
-		return 0, err
+		return lease, err
 	}
 	if err := g.readQuarantine(ctx); err != nil {
-		return 0, err
+		return lease, err
 	}
 	listing, err := g.platform.Store.Range(ctx, hostsPrefix)
 	if err != nil {
-		return 0, err
+		return lease, err
 	}
 	for _, v := range listing.Values {
 		address, err := netip.ParseAddrPort(strings.TrimPrefix(v.Key, hostsPrefix))
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -10,6 +10,12 @@
 //
 // A removal is kept with its revision, because an older copy may still contain the
 // key. A key that is written again after its removal has a higher revision.
+//
+// # Restorations
+//
+// A store that was restored from an older copy begins a new era, whose revisions are
+// higher than all earlier ones. There is no history from one era to the next: the first
+// copy of an era is a complete one and replaces everything.
 package mirror
 
 import (
@@ -82,6 +88,8 @@
 	// answers again.
 	OnStoreLost     func(prefix string, err error)
 	OnStoreRegained func(prefix string)
+	// OnStoreRestored is called with the first copy of a prefix of a restored store.
+	OnStoreRestored func(prefix string)
 	Log             *slog.Logger
 
 	mu       sync.Mutex
@@ -106,7 +114,7 @@
 // New returns a Mirror of the given prefixes of store.
 func New(store keyvalue.Store, prefixes ...string) *Mirror {
 	m := &Mirror{
-		Store: store, OnChange: func(string) {}, HostCount: func() int { return 1 }, MinInterval: func(string) time.Duration { return 0 }, ShouldWatch: func() bool { return true }, OnStoreLost: func(string, error) {}, OnStoreRegained: func(string) {},
+		Store: store, OnChange: func(string) {}, HostCount: func() int { return 1 }, MinInterval: func(string) time.Duration { return 0 }, ShouldWatch: func() bool { return true }, OnStoreLost: func(string, error) {}, OnStoreRegained: func(string) {}, OnStoreRestored: func(string) {},
 		Log: slog.Default(), prefixes: prefixes, states: make(map[string]*prefixState),
 	}
 	for _, p := range prefixes {
@@ -243,11 +251,11 @@
 
 // Merge merges a neighbour's copy, and reports whether it did. A copy that is not newer
 // is ignored, as is a partial copy if the changes between the local state and its start
-// are missing.
+// are missing, or if it starts in an earlier era.
 func (m *Mirror) Merge(c Copy) bool {
 	m.mu.Lock()
 	s := m.states[c.Prefix]
-	stale := s == nil || c.AsOf <= s.asOf || c.After > s.asOf || c.After > 0 && !s.loaded
+	stale := s == nil || c.AsOf <= s.asOf || c.After > s.asOf || c.After > 0 && (!s.loaded || c.After.Era() != c.AsOf.Era())
 	m.mu.Unlock()
 	if stale {
 		return false
@@ -272,10 +280,13 @@
 			changed = s.put(Item{Key: key, Revision: c.AsOf, Deleted: true}) || changed
 		}
 	}
-	first := !s.loaded
+	first, restored := !s.loaded, s.loaded && c.AsOf.Era() > s.asOf.Era()
 	s.loaded = true
 	s.asOf = max(s.asOf, c.AsOf)
 	m.mu.Unlock()
+	if restored {
+		m.OnStoreRestored(c.Prefix)
+	}
 	if changed || first {
 		m.OnChange(c.Prefix)
 	}
@@ -340,7 +351,7 @@
 func (m *Mirror) Copy(prefix string) (Copy, bool) { return m.ChangesSince(prefix, 0) }
 
 // ChangesSince returns the changes after a revision, including removals. If after is
-// zero, it returns a complete copy.
+// zero or of another era, it returns a complete copy.
 func (m *Mirror) ChangesSince(prefix string, after keyvalue.Revision) (Copy, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -348,6 +359,9 @@
 	if s == nil || !s.loaded {
 		return Copy{}, false
 	}
+	if after.Era() != s.asOf.Era() {
+		after = 0
+	}
 	c := Copy{Prefix: prefix, After: after, AsOf: s.asOf}
 	for _, item := range s.items {
 		if item.Revision > after && (after > 0 || !item.Deleted) {
--- a/internal/process/mirror/mirror_test.go
+++ b/internal/process/mirror/mirror_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -63,6 +65,35 @@
 	s.history = nil
 }
 
+// copied is a copy of a fakeStore.
+type copied struct {
+	revision keyvalue.Revision
+	values   map[string]keyvalue.Value
+}
+
+func (s *fakeStore) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copied{revision: s.revision, values: maps.Clone(s.values)}
+}
+
+// restore replaces the contents by an older copy: the store continues in the next era
+// from the copy's revision.
+func (s *fakeStore) restore(older copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.revision.Era() + 1
+	s.revision = keyvalue.NewRevision(era, older.revision.Number())
+	s.values = make(map[string]keyvalue.Value)
+	for key, v := range older.values {
+		v.Revision = keyvalue.NewRevision(era, v.Revision.Number())
+		s.values[key] = v
+	}
+	s.history, s.compacted = nil, s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeStore) client() keyvalue.Store {
 	return keyvalue.Store{Range: s.list, Changes: s.watch}
 }
@@ -228,3 +259,76 @@
 		c.Assert(value(m, "endpoints/b"), qt.Equals, "3")
 	})
 }
+
+// What is written after the store was restored from an older copy was ignored, since its
+// revision is below those of the writes that the store has lost.
+func TestWritesAfterARestorationArrive(t *testing.T) {
+	runMirror(t, func(c *qt.C, s *fakeStore, m *mirror.Mirror) {
+		restored := 0
+		m.OnStoreRestored = func(string) { restored++ }
+		older := s.copy()
+		for i := range 50 {
+			s.set("endpoints/a", fmt.Sprint("lost ", i))
+		}
+		s.set("endpoints/b", "lost")
+		time.Sleep(time.Millisecond)
+		c.Assert(value(m, "endpoints/a"), qt.Equals, "lost 49")
+		s.restore(older)
+		s.set("endpoints/a", "2")
+		time.Sleep(2500 * time.Millisecond)
+		c.Assert(value(m, "endpoints/a"), qt.Equals, "2")
+		c.Assert(value(m, "endpoints/b"), qt.Equals, "")
+		s.set("endpoints/a", "3")
+		time.Sleep(time.Millisecond)
+		c.Assert(value(m, "endpoints/a"), qt.Equals, "3")
+		c.Assert(restored, qt.Equals, 1)
+	})
+}
+
+// A copy from a neighbour that has not seen the restoration must not replace what the
+// restored store holds, although its revisions have higher numbers.
+func TestCopyOfAnEarlierEraIsIgnored(t *testing.T) {
+	runMirror(t, func(c *qt.C, s *fakeStore, m *mirror.Mirror) {
+		older := s.copy()
+		for i := range 50 {
+			s.set("endpoints/a", fmt.Sprint("lost ", i))
+		}
+		time.Sleep(time.Millisecond)
+		lost, ok := m.Copy(prefix)
+		c.Assert(ok, qt.IsTrue)
+		s.restore(older)
+		s.set("endpoints/a", "2")
+		time.Sleep(2500 * time.Millisecond)
+		c.Assert(m.Merge(lost), qt.IsFalse)
+		c.Assert(value(m, "endpoints/a"), qt.Equals, "2")
+	})
+}
+
+// A host without answers of the store takes a neighbour's copy. From one era to the next
+// changes don't suffice: keys that only the lost writes held must go.
+func TestCopyOfALaterEraIsComplete(t *testing.T) {
+	runMirror(t, func(c *qt.C, s *fakeStore, m *mirror.Mirror) {
+		older := s.copy()
+		s.set("endpoints/b", "lost")
+		time.Sleep(time.Millisecond)
+		s.withLock(func() { s.down = true })
+		m.RestartWatch(prefix)
+		neighbour := mirror.New(s.client(), prefix)
+		s.restore(older)
+		s.set("endpoints/c", "1")
+		listing := mirror.Copy{Prefix: prefix, AsOf: s.revision}
+		for _, v := range s.values {
+			listing.Items = append(listing.Items, mirror.Item{Key: v.Key, Data: v.Data, Revision: v.Revision})
+		}
+		c.Assert(neighbour.Merge(listing), qt.IsTrue)
+
+		partial := listing
+		partial.After = m.AsOf(prefix)
+		c.Assert(m.Merge(partial), qt.IsFalse)
+		served, ok := neighbour.ChangesSince(prefix, m.AsOf(prefix))
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(m.Merge(served), qt.IsTrue)
+		c.Assert(value(m, "endpoints/b"), qt.Equals, "")
+		c.Assert(value(m, "endpoints/c"), qt.Equals, "1")
+	})
+}
