process/gateway: keep endpoints that a restored store lacks until they register again

What callers saw: for up to two seconds after the store came back from an older copy, none of the endpoints that had registered since the copy got calls.

Cause: an entry that is missing from the store counts as removed, and its endpoint as leaving for good, unless the store failed to answer this host shortly before. A host that takes its copy from a neighbour, or whose calls met no failure, doesn't know of the outage.

Ruled out: entries of endpoints that leave; they stay marked as leaving, as before, though the restored entry says that they are ready.

Change: the first copy of a new era counts as the end of an outage, so that endpoints without an entry are kept for the time that they have to register again.

TestEndpointsAreKeptAfterARestoration fails without the change (an endpoint that registers again stays marked as leaving).

--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -48,7 +48,9 @@
 	misdirected map[identity.Incarnation]time.Time
 	// unreadable holds the revisions of values that could not be decoded, by key,
 	// so that each is logged once.
-	unreadable  map[string]keyvalue.Revision
+	unreadable map[string]keyvalue.Revision
+	// era is that of the endpoints' latest copy.
+	era         keyvalue.Era
 	lastFailure time.Time
 	lastSweep   time.Time
 }
@@ -131,6 +133,10 @@
 	if !ok {
 		return
 	}
+	if era := copied.AsOf.Era(); era != g.control.era {
+		// Entries that a restored store lacks are about to be written again.
+		g.control.era, g.control.lastFailure = era, now
+	}
 	previous := g.control.entries
 	g.control.entries = make(map[string]entry, len(copied.Items))
 	for _, item := range copied.Items {
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -392,6 +392,22 @@
 	c.Assert(g.Ready(), qt.IsFalse)
 }
 
+// Endpoints that registered after the copy was made from which the store was restored
+// register again within a short time, and must be used meanwhile. One that had said that
+// it is leaving must stay so, though its restored entry says that it is ready.
+func TestEndpointsAreKeptAfterARestoration(t *testing.T) {
+	c, s, g := startWithEndpoints(t)
+	s.set("endpoints/1", "draining")
+	waitForStates(c, g, "ready leaving ready")
+	s.restore(map[string]string{"configuration": "2", "endpoints/0": "ready", "endpoints/1": "ready"})
+	s.set("endpoints/3", "ready")
+	waitForStates(c, g, "ready leaving ready ready")
+	s.set("endpoints/2", "ready")
+	time.Sleep(2 * reappear)
+	waitForStates(c, g, "ready leaving ready ready")
+	c.Assert(g.Catalogue().Version, qt.Equals, identity.Version(3))
+}
+
 // A host that gets no answers since before the store was restored must learn of later
 // configurations from its neighbours, whose revisions are below its own.
 func TestRestoredConfigurationComesFromANeighbour(t *testing.T) {
