--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -115,6 +115,8 @@
 	// mirrorChanged, reports and misdirections are the events that the control
 	// goroutine handles.
 	mirrorChanged chan struct{}
+	// restored makes the registration start again.
+	restored      chan struct{}
 	reports       chan neighbour.Report
 	misdirections chan identity.Incarnation
 	control       controlState
@@ -147,7 +149,7 @@
 		self: self, bounds: bounds, platform: platform, log: log, meter: m,
 		incarnation: identity.NewIncarnation(), started: time.Now(),
 		clock: clock.New(), quota: quota.New(time.Now(), quota.WithSlack(bounds.QuotaSlack)), group: new(errgroup.Group),
-		mirrorChanged: make(chan struct{}, 1), reports: make(chan neighbour.Report, eventQueueSize),
+		mirrorChanged: make(chan struct{}, 1), restored: make(chan struct{}, 1), reports: make(chan neighbour.Report, eventQueueSize),
 		misdirections: make(chan identity.Incarnation, eventQueueSize),
 	}
 	g.control = newControl()
@@ -168,6 +170,7 @@
 	}
 	g.mirror = mirror.New(platform.Store, platform.ConfigurationKey, platform.EndpointPrefix)
 	g.mirror.OnChange, g.mirror.OnStoreLost, g.mirror.OnStoreRegained, g.mirror.Log = g.onMirrorChange, g.onStoreLost, g.onStoreRegained, log
+	g.mirror.OnStoreRestored = g.onStoreRestored
 	g.mirror.HostCount = func() int { return g.neighbours.HostCount(hostCountWindow) }
 	g.mirror.ShouldWatch = g.watchesStore
 	g.mirror.MinInterval = func(prefix string) time.Duration {
@@ -266,6 +269,21 @@
 	g.onMirrorChange(prefix)
 }
 
+// onStoreRestored makes the host write again what it had written to the store.
+func (g *Gateway) onStoreRestored(prefix string) {
+	asOf := g.mirror.AsOf(prefix)
+	g.log.Warn("store_restored", "prefix", prefix, "as_of", asOf)
+	select {
+	case g.restored <- struct{}{}:
+	default:
+	}
+}
+
+// storeEra returns the latest era of the store that this host has a copy of.
+func (g *Gateway) storeEra() keyvalue.Era {
+	return max(g.mirror.AsOf(g.platform.ConfigurationKey), g.mirror.AsOf(g.platform.EndpointPrefix)).Era()
+}
+
 // onReport records the clock and usage of a report, and queues the report for the
 // control goroutine.
 func (g *Gateway) onReport(r neighbour.Report) {
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -437,3 +437,20 @@
 	c.Assert(reaches(connected, 31), qt.IsTrue)
 	c.Assert(reaches(unanswered, 31), qt.IsTrue)
 }
+
+// A host's registration and the leader's quarantines are lost with the store's latest
+// writes. They must be written again at once: hosts that start find the others by the
+// registrations, and the quarantines must outlast a restart of all hosts.
+func TestOwnKeysAreWrittenAgainAfterARestoration(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	s.getErr = keyvalue.ErrAbsent
+	s.set("configuration", "3")
+	s.set("dandelionlift/quarantine", fmt.Sprintf(`[{"s":"s","p":[666],"t":%d}]`, time.Now().Add(-time.Second).UnixMilli()))
+	startGateway(c, s.client())
+	s.waitForWrite(c, "dandelionlift/hosts/", 0)
+	s.waitForWrite(c, "dandelionlift/quarantine", 0)
+	s.restore(map[string]string{"configuration": "2"})
+	s.waitForWrite(c, "dandelionlift/hosts/", 1)
+	s.waitForWrite(c, "dandelionlift/quarantine", 1)
+}
--- a/internal/process/gateway/register.go
+++ b/internal/process/gateway/register.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -30,6 +31,10 @@
 	registrationTTL     = 60 * time.Second
 	registrationRenewal = 20 * time.Second
 	registrationRetry   = time.Second
+	// restoredSpread is over how long, for each host, the hosts spread their
+	// registrations in a restored store: 100 of them a second are a fraction of what
+	// the store allows.
+	restoredSpread = 10 * time.Millisecond
 )
 
 // runRegistration registers this host in the store and reads the addresses of others.
@@ -41,13 +46,30 @@
 			pause.For(ctx, registrationRetry)
 			continue
 		}
-		for pause.For(ctx, registrationRenewal) {
+		g.keepRegistered(ctx, lease)
+	}
+	return nil
+}
+
+// keepRegistered renews the registration until its lease has ended or the store was
+// restored, which may have lost it.
+func (g *Gateway) keepRegistered(ctx context.Context, lease keyvalue.LeaseID) {
+	for {
+		select {
+		case <-time.After(registrationRenewal):
 			if errors.Is(g.platform.Store.KeepAlive(ctx, lease), keyvalue.ErrNoLease) {
-				break
+				return
 			}
+		case <-g.restored:
+			if g.storeEra() == lease.Era {
+				continue
+			}
+			pause.For(ctx, rand.N(restoredSpread*time.Duration(1+g.neighbours.HostCount(hostCountWindow))))
+			return
+		case <-ctx.Done():
+			return
 		}
 	}
-	return nil
 }
 
 // register writes the host's key before it reads those of others, so that of two
