process/usage: never report a window with other counts after a restoration

Cause: the leader records a window's counts in the store before it reports them, so that a later leader repeats them. A restored store has lost the record; the next leader, or the same one after an unanswered call, recorded and reported its own sum, which differs by late reports and killed hosts. What was known to be settled rested on one acknowledged write.

Ruled out: two leaders at once (the second report came seconds later, from the next term).

Change: usage.Recorder keeps what this host has recorded and repeats it. The leader tells the other hosts which windows it begins to report, and in which era, one report interval before it does. A leader that finds no record of a window begun in an earlier era does not report it: a missing report costs a little, a second one is a wrong bill.

--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"strconv"
+	"maps"
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
@@ -19,50 +18,50 @@
 )
 
 const (
-	// usageInterval is the period of checking for windows to report.
+	// usageInterval is the period of checking for windows to report. It is longer than
+	// the time between two reports to the other hosts.
 	usageInterval = 500 * time.Millisecond
 	// usageReportDelay is how long after a window's end all hosts' counts have arrived.
 	usageReportDelay = 1500 * time.Millisecond
-	// usageRecordsKept is how many windows' records stay in the store for the next
-	// leader.
-	usageRecordsKept = 12
 )
 
 // runUsage reports each window's usage while this host is the leader.
 func (g *Gateway) runUsage(ctx context.Context) error {
 	reported := make(map[usage.Window]bool)
 	for pause.For(ctx, usageInterval) {
-		if _, ok := g.elector.Fence(); !ok {
+		now := g.clock.Now()
+		first, last := g.usage.WindowAt(now.Add(-g.bounds.UsageReportDue))-1, g.usage.WindowAt(now.Add(-usageReportDelay))-1
+		g.recorder.Retain(first, g.usage.WindowAt(now))
+		maps.DeleteFunc(reported, func(w usage.Window, _ bool) bool { return w < first })
+		fence, ok := g.elector.Fence()
+		if !ok {
 			continue
 		}
-		now := g.clock.Now()
-		last := g.usage.WindowAt(now.Add(-usageReportDelay)) - 1
-		for w := g.usage.WindowAt(now.Add(-g.bounds.UsageReportDue)) - 1; w <= last; w++ {
-			if !reported[w] && g.usage.WindowEnd(w).Add(g.bounds.UsageReportDue).After(now) {
+		for w := first; w <= last; w++ {
+			// A report sent before the other hosts know of it is sent at the next tick.
+			if !reported[w] && g.usage.WindowEnd(w).Add(g.bounds.UsageReportDue).After(now) && g.recorder.Begin(w, keyvalue.Revision(fence).Era()) {
 				reported[w] = g.reportUsage(ctx, w)
 			}
 		}
-		for w := range reported {
-			if w < last-usageRecordsKept {
-				delete(reported, w)
-			}
-		}
 	}
 	return nil
 }
 
 // reportUsage records a window's counts in the store and then reports them to the
-// platform, so that a later leader repeats the same counts.
+// platform. It reports whether that is done or can't be done.
 func (g *Gateway) reportUsage(ctx context.Context, w usage.Window) bool {
 	ctx, cancel := context.WithTimeout(ctx, duty.CallTimeout)
 	defer cancel()
-	counts, err := g.recordUsage(ctx, w)
+	fence, ok := g.elector.Fence()
+	if !ok {
+		return false
+	}
+	counts, err := g.recorder.Record(ctx, w, keyvalue.Revision(fence).Era())
 	if err != nil {
 		g.log.Info("usage_not_recorded", "window", w, "error", err)
-		return false
+		return errors.Is(err, usage.ErrLost)
 	}
-	fence, ok := g.elector.Fence()
-	if !ok {
+	if fence, ok = g.elector.Fence(); !ok {
 		return false
 	}
 	err = g.platform.LeaderCalls.ReportUsage(ctx, fence, int64(w), counts)
@@ -71,34 +70,6 @@
 	return err == nil
 }
 
-// recordUsage returns the counts recorded in the store for a window, and records this
-// host's sum if there are none.
-func (g *Gateway) recordUsage(ctx context.Context, w usage.Window) (usage.Counts, error) {
-	key := usagePrefix + strconv.FormatInt(int64(w), 10)
-	counts := g.usage.Total(w)
-	data, err := json.Marshal(counts)
-	if err != nil {
-		return nil, err
-	}
-	_, err = g.platform.Store.Commit(ctx, keyvalue.Transaction{
-		Conditions: []keyvalue.Condition{{Key: key}},
-		Writes:     []keyvalue.Entry{{Key: key, Data: data}},
-		Deletes:    []string{usagePrefix + strconv.FormatInt(int64(w)-usageRecordsKept, 10)},
-	})
-	if err == nil {
-		return counts, nil
-	}
-	if !errors.Is(err, keyvalue.ErrConflict) && !errors.Is(err, keyvalue.ErrAmbiguous) {
-		return nil, err
-	}
-	value, err := g.platform.Store.Get(ctx, key)
-	if err != nil {
-		return nil, err
-	}
-	stored := make(usage.Counts)
-	return stored, json.Unmarshal(value.Data, &stored)
-}
-
 // raiseFenceIfUnanswered requests a higher fence if err says that a call got no answer.
 func (g *Gateway) raiseFenceIfUnanswered(err error) {
 	if errors.Is(err, cloud.ErrOutcomeUnknown) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -105,6 +105,7 @@
 	quarantine    *quarantine.Quarantine
 	limits        *limit.Limits
 	usage         *usage.Counter
+	recorder      *usage.Recorder
 	neighbours    *neighbour.Neighbours
 	elector       *duty.Elector
 	pool          *endpoint.Pool
@@ -156,6 +157,7 @@
 	g.quarantine = quarantine.New(quarantine.WithClock(g.clock.Now))
 	m.Gauge("prompt_quarantines", func() float64 { return float64(len(g.quarantine.Orders())) })
 	g.usage = usage.New(g.incarnation, self.Zone, bounds.UsageWindow)
+	g.recorder = usage.NewRecorder(platform.Store, usagePrefix, g.usage.Total)
 	g.speed = speed.New()
 	g.limits = limit.New(limit.WithClock(g.clock.Now))
 	m.Gauge("endpoints_limited", func() float64 { return float64(g.limitedEndpoints()) })
@@ -295,6 +297,7 @@
 		g.clock.RecordWallClock(r.Host, time.Unix(0, r.WallNanos))
 		g.usage.MergeHost(r.Incarnation, r.Zone, r.Usage)
 	}
+	g.recorder.Merge(r.UsageBegun)
 	g.quarantine.Merge(r.Quarantine)
 	g.limits.Merge(r.Limits)
 	if r.EvidenceOnly {
--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -34,6 +34,7 @@
 		ServiceDemand: busy, ServiceDemandSquares: squares,
 		Speeds:       g.speed.Local(),
 		Usage:        g.usage.LocalCounts(g.clock.Now()),
+		UsageBegun:   g.recorder.Begun(),
 		Loads:        g.balancer.LocalLoads(now),
 		Leaving:      *g.leaving.Load(),
 		Limits:       g.limits.Reported(g.neighbours.IsRelay()),
--- a/internal/process/neighbour/report.go
+++ b/internal/process/neighbour/report.go
@@ -63,6 +63,9 @@
 	Speeds map[identity.Service]speed.Estimate `json:"spd,omitempty"`
 	// Usage holds the call counts of the most recent windows.
 	Usage map[usage.Window]usage.Counts `json:"use,omitempty"`
+	// UsageBegun holds the windows that a leader has begun to report to the platform, as
+	// far as the sender knows, and the era of the store in which it began.
+	UsageBegun map[usage.Window]keyvalue.Era `json:"useb,omitempty"`
 	// Loads is the sender's outstanding work by endpoint.
 	Loads map[identity.Incarnation]Load `json:"load,omitempty"`
 	// Leaving lists the endpoints that the sender knows to be leaving.
@@ -117,7 +120,7 @@
 func aggregate(own Report, others []ReceivedReport) Report {
 	total := Report{
 		Host: own.Host, Incarnation: own.Incarnation, Address: own.Address, Zone: own.Zone, Sequence: own.Sequence,
-		Hosts: 1, Revisions: own.Revisions, Leader: own.Leader, Leaving: own.Leaving, Quarantine: own.Quarantine, Limits: own.Limits,
+		Hosts: 1, Revisions: own.Revisions, UsageBegun: own.UsageBegun, Leader: own.Leader, Leaving: own.Leaving, Quarantine: own.Quarantine, Limits: own.Limits,
 		TokenDemand: cloneMap(own.TokenDemand), ServiceDemand: cloneMap(own.ServiceDemand), Loads: cloneMap(own.Loads), Usage: cloneUsage(own.Usage),
 		ServiceDemandSquares: cloneMap(own.ServiceDemandSquares), Speeds: cloneMap(own.Speeds),
 	}
