process/gateway: no endpoint of an earlier start after a restoration

What callers could see: an endpoint that had started again under its key gets no calls, and its former address does, until it registers again.

Cause: the restored store holds the entry of the earlier start, which replaced the later one, since only the store's order of writes was compared.

Change: the endpoint's own start time, which its entry names, decides between two incarnations with one key when the first of them comes from a restored store. The later one is kept for the time that it has to register again; then the entry counts.

TestEntryOfAnEarlierStartIsNotUsedAfterARestoration fails without the change.

--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -160,6 +160,12 @@
 		}
 		return
 	}
+	restored := previous.revision.Era() < item.Revision.Era() && e.Started.Before(previous.endpoint.Started)
+	if restored || e.Started.Before(g.control.retained[item.Key].endpoint.Started) {
+		// The entry of an earlier start, which the restored store had kept. The later
+		// incarnation registers again or is gone.
+		return
+	}
 	e.FirstSeen = now
 	if previous.endpoint.Incarnation == e.Incarnation {
 		e.FirstSeen = previous.endpoint.FirstSeen
@@ -274,21 +280,23 @@
 	g.shareQuota(now, live)
 	g.decideQuarantine()
 	g.limits.SetTurn(g.turn(heard))
-	expired := false
+	gone := false
 	for key, kept := range g.control.retained {
 		if now.After(kept.until) {
 			delete(g.control.retained, key)
 			g.control.leaving[kept.endpoint.Incarnation] = now
 			g.log.Info("endpoint_gone", "endpoint", kept.endpoint.Host, "waited", g.bounds.ReappearTimeout)
-			expired = true
+			gone = true
 		}
 	}
+	if gone {
+		g.reloadEndpoints(now)
+	}
 	if now.Sub(g.control.lastSweep) > sweepInterval {
 		g.control.lastSweep = now
-		expired = g.sweep(now) || expired
-	}
-	if expired {
-		g.publish(now)
+		if g.sweep(now) {
+			g.publish(now)
+		}
 	}
 }
 
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -167,7 +167,7 @@
 )
 
 // startWithEndpoints runs a gateway over a store with a configuration and three
-// endpoints. An endpoint's entry consists of its state.
+// endpoints. An endpoint's entry consists of its state and, after an @, of when it started.
 func startWithEndpoints(t *testing.T) (*qt.C, *fakeStore, *gateway.Gateway) {
 	c := qt.New(t)
 	s := newStore()
@@ -195,9 +195,11 @@
 			if string(data) == "unreadable" {
 				return fleet.Endpoint{}, errors.New("unreadable")
 			}
+			state, started, _ := strings.Cut(string(data), "@")
+			seconds, _ := strconv.Atoi(started)
 			return fleet.Endpoint{
-				Host: identity.Host(key), Incarnation: identity.Incarnation(key), Service: "s", Zone: "z", Slots: 1,
-				Leaving: string(data) == "draining",
+				Host: identity.Host(key), Incarnation: identity.Incarnation(key + started), Service: "s", Zone: "z", Slots: 1,
+				Started: time.Unix(int64(seconds), 0), Leaving: state == "draining",
 			}, nil
 		},
 	}
@@ -454,3 +456,35 @@
 	s.waitForWrite(c, "dandelionlift/hosts/", 1)
 	s.waitForWrite(c, "dandelionlift/quarantine", 1)
 }
+
+// An endpoint had started again under its key when the store was restored from a copy that
+// holds the entry of its earlier start. The calls must not go to what has ended.
+func TestEntryOfAnEarlierStartIsNotUsedAfterARestoration(t *testing.T) {
+	c, s, g := startWithEndpoints(t)
+	incarnation := func(host identity.Host) identity.Incarnation {
+		for _, e := range g.Endpoints() {
+			if e.Host == host && !e.Leaving {
+				return e.Incarnation
+			}
+		}
+		return ""
+	}
+	await := func(host identity.Host, want identity.Incarnation) {
+		c.Helper()
+		for range 400 {
+			if incarnation(host) == want {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Fatalf("%s is %q, want %q", host, incarnation(host), want)
+	}
+	s.set("endpoints/1", "ready@2")
+	await("endpoints/1", "endpoints/12")
+	s.restore(map[string]string{"configuration": "2", "endpoints/1": "ready@1", "endpoints/seen": "ready"})
+	await("endpoints/seen", "endpoints/seen")
+	c.Assert(incarnation("endpoints/1"), qt.Equals, identity.Incarnation("endpoints/12"))
+	s.set("endpoints/1", "ready@2")
+	time.Sleep(2 * reappear)
+	c.Assert(incarnation("endpoints/1"), qt.Equals, identity.Incarnation("endpoints/12"))
+}
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -41,6 +41,8 @@
 	ChecksFence bool
 	// Slots is the number of requests it runs concurrently; zero if not reported.
 	Slots int
+	// Started is when the incarnation started by its own clock; zero if unknown.
+	Started time.Time
 	// FirstSeen is when this entry host first saw the incarnation.
 	FirstSeen time.Time
 	Load      Load
