--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -181,6 +181,7 @@
 		}
 		return 0
 	}
+	m.Gauge("store_era", func() float64 { return float64(g.storeEra()) })
 	g.elector = duty.New(platform.Store, dutyKey, g.incarnation, bounds.LeaseDuration)
 	g.elector.HasOtherLeader, g.elector.Rank, g.elector.Log = g.hasOtherLeader, g.rank, log
 	g.pool = endpoint.New(g.group)
