forward/retry: send a further attempt at an address on a new connection

A call that may not be repeated ran twice: its endpoint, the only one there, had refused it, got it again on the same connection and wrote the refusal once more while it ran the call.

Cause: both attempts carry the call's id, so that the refusal of the first was taken for that of the second, and the call was sent a third time. Ruled out: the choice of endpoints, as avoided endpoints are only chosen again if there is no other, and answers of other calls, which carry another id.

A further attempt at an address that the call was sent to before now opens a connection, where the only answer is its own.

TestEarlierRefusalOfTheSameCallDoesNotRefuseItsRetry failed before (2 runs in place of 1, plain call and stream) and passes, with -race.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -63,9 +64,10 @@
 		Method: k.Method, Target: k.Target, Host: k.Host, Body: k.Body,
 		Header:        k.f.Protocol.AttemptHeader(k.Call, choice.Endpoint, time.Until(k.Deadline), k.lastEvent),
 		NonIdempotent: !k.Route.Retryable(),
-		NewConnection: k.ID == "",
+		NewConnection: k.ID == "" || slices.Contains(k.sentTo, choice.Endpoint.Address),
 		Owner:         func(h http.Header) endpoint.Owner { return k.f.Protocol.Owner(k.Call, h) },
 	}
+	k.sentTo = append(k.sentTo, choice.Endpoint.Address)
 	sentAt := time.Now()
 	answer, err := k.f.pool.Send(ctx, choice.Endpoint.Address, request)
 	if err != nil {
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -23,6 +23,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -108,6 +109,9 @@
 	// sends counts the attempts, delivered those that may have reached an
 	// endpoint, and runs those that may have been executed.
 	sends, delivered, runs int
+	// sentTo lists the addresses that the call was sent to. An answer can't tell which
+	// attempt at one address it belongs to, other than by its connection.
+	sentTo []netip.AddrPort
 	// paid is set while the current attempt is charged to the retry budget.
 	paid bool
 	// overall is the verdict over all attempts so far.
