forward/streams: resume a stream only with its continuation

Callers whose stream had broken off found the text of an error in the middle of it, or got a stream that ended early as if it were complete.

Cause: once a stream has begun, another endpoint's answer was treated as if nothing had been sent: anything but 200 was copied behind the events and the body then ended in order, a 200 of any type was read as events, events without a number were passed on, and an answer without a further event counted as the end, also one that ended with its connection. A stream that a caller resumes was not checked for a gap.

What follows the last event must now be a 200 of type text/event-stream that goes on at the next event; repeated events and comments before it are dropped. Without a further event it is complete only if the answer states its end.

That the body is closed when no more can follow was so before (TestStreamThatCanNotBeResumedIsNotComplete).

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"slices"
 	"strconv"
@@ -104,6 +105,10 @@
 	if k.isStream() && answer.Status == http.StatusOK {
 		return k.forwardEvents(answer, outstanding, progressTimer)
 	}
+	if k.started {
+		// Nothing but the stream's continuation may follow what the caller has got.
+		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, fmt.Sprintf("status %d within a stream", answer.Status))
+	}
 	k.countExecuted()
 	outstanding.RecordAnswer(time.Now())
 	return k.forwardAnswer(ctx, answer)
@@ -200,28 +205,37 @@
 
 // forwardEvents passes a stream on, event by event.
 func (k *forwarding) forwardEvents(answer *endpoint.Answer, outstanding *balance.OutstandingCall, progressTimer *time.Timer) (balance.Result, *verdict.Error) {
+	// continued is false until a resumed stream goes on at the event after the last.
+	continued := k.lastEvent < 0
+	if mediaType, _, _ := mime.ParseMediaType(answer.Header.Get("Content-Type")); !continued && mediaType != eventStreamType {
+		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "resumed with "+strconv.Quote(mediaType))
+	}
 	reader := event.NewReader(answer.Body)
 	for {
 		e, err := reader.Next()
-		if errors.Is(err, io.EOF) && k.lastEvent >= 0 {
+		if errors.Is(err, io.EOF) && k.lastEvent >= 0 && (continued || answer.Delimited) {
 			return balance.Succeeded, k.endStream(answer)
 		}
 		if err != nil {
 			return balance.Failed, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointLost, err)
 		}
 		k.recordProgress(outstanding, progressTimer)
-		if e.ID >= 0 && e.ID <= k.lastEvent {
+		if e.ID >= 0 && e.ID <= k.lastEvent || !continued && e.Comment {
 			continue
 		}
-		if k.started && e.ID >= 0 && e.ID != k.lastEvent+1 {
+		if e.ID != k.lastEvent+1 && (!continued || k.started && e.ID >= 0) {
 			return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.AnswerGap, fmt.Sprintf("event %d after %d", e.ID, k.lastEvent))
 		}
+		continued = true
 		if err := k.writeEvent(answer, e); err != nil {
 			return balance.Abandoned, verdict.Wrap(verdict.MayHaveRun, verdict.CallerGone, err)
 		}
 	}
 }
 
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
 // recordProgress records that an event arrived. It restarts the progress timer, or
 // stops it if the call can't be retried.
 func (k *forwarding) recordProgress(outstanding *balance.OutstandingCall, progressTimer *time.Timer) {
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -14,7 +14,9 @@
 //
 // Only complete events are passed on. If a resumable stream breaks off, it is
 // resumed at another endpoint after the last event that was passed on. Repeated
-// events are dropped; a missing event ends the attempt.
+// events are dropped; a missing event ends the attempt. So does any answer but a
+// stream that goes on at the next event, as callers would find it in their stream. A
+// resumed stream without a further event is complete only if its answer states its end.
 package forward
 
 import (
--- a/internal/request/event/event.go
+++ b/internal/request/event/event.go
@@ -23,6 +23,8 @@
 type Event struct {
 	// ID is the event's numeric id, or -1 if it has none.
 	ID int64
+	// Comment is set if the event consists of comment lines only.
+	Comment bool
 	// Bytes holds the event as received, including the blank line.
 	Bytes []byte
 }
@@ -32,6 +34,8 @@
 	source *bufio.Reader
 	event  []byte
 	id     int64
+	// fields is set once the event has a line that is no comment.
+	fields bool
 }
 
 const bufferBytes = 4 << 10
@@ -45,7 +49,7 @@
 // or io.ErrUnexpectedEOF if the stream ends within an event. Blank lines before an
 // event are skipped. The event's bytes are valid until the next call.
 func (r *Reader) Next() (Event, error) {
-	r.event, r.id = r.event[:0], -1
+	r.event, r.id, r.fields = r.event[:0], -1, false
 	for {
 		start := len(r.event)
 		if err := r.readLine(); err != nil {
@@ -53,6 +57,7 @@
 		}
 		line := bytes.TrimRight(r.event[start:], "\r\n")
 		if len(line) > 0 {
+			r.fields = r.fields || line[0] != ':'
 			r.parseID(line)
 			continue
 		}
@@ -60,7 +65,7 @@
 			r.event = r.event[:0]
 			continue
 		}
-		return Event{ID: r.id, Bytes: r.event}, nil
+		return Event{ID: r.id, Comment: !r.fields, Bytes: r.event}, nil
 	}
 }
 
