request/event: take no head of an answer for an event

Callers found the whole head of another answer in the middle of their stream: an endpoint wrote it behind an event, between two of its lines, or within one.

Cause: a stream without a length or chunks ends with its connection, so that nothing but the form of its lines tells events from other bytes, and a status line with headers and a blank line was an event without a number. Ruled out: chunked streams, where such bytes are no chunk.

A line with an HTTP version before its first colon is no line of an event; the stream counts as broken off there. Text of a caller's own, in an event's data, always stands behind a colon. What an endpoint writes behind "data: " can't be told from the event's data.

--- a/internal/request/event/event.go
+++ b/internal/request/event/event.go
@@ -19,6 +19,10 @@
 // ErrTooLong is returned for an event larger than MaxBytes.
 var ErrTooLong = errors.New("event: larger than 1 MiB")
 
+// ErrAnswerHead is returned for an event with the status line of an HTTP answer, which an
+// endpoint in trouble may write within a stream.
+var ErrAnswerHead = errors.New("event: status line within a stream")
+
 // Event is one complete event.
 type Event struct {
 	// ID is the event's numeric id, or -1 if it has none.
@@ -57,6 +61,9 @@
 		}
 		line := bytes.TrimRight(r.event[start:], "\r\n")
 		if len(line) > 0 {
+			if name, _, _ := bytes.Cut(line, colon); bytes.Contains(name, httpVersion) {
+				return Event{}, ErrAnswerHead
+			}
 			r.fields = r.fields || line[0] != ':'
 			r.parseID(line)
 			continue
@@ -69,6 +76,12 @@
 	}
 }
 
+var (
+	colon = []byte(":")
+	// httpVersion begins a status line, and is in no name of an event's field.
+	httpVersion = []byte("HTTP/1.")
+)
+
 // readLine appends one line to event.
 func (r *Reader) readLine() error {
 	for {
--- a/internal/request/event/event_test.go
+++ b/internal/request/event/event_test.go
@@ -42,6 +42,31 @@
 	c.Assert(err, qt.Equals, event.ErrTooLong)
 }
 
+// Guards against MIXED: the head of another answer within a stream is taken for an event, or
+// for a part of one. In an event's data the same text is sound.
+func TestNextRefusesHeadOfAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nA: b\r\n\r\n", "id: 1\nHTTP/1.0 200 OK\r\n\r\n", "id: 1\ndaHTTP/1.1 400 Bad Request\r\n\r\n",
+	} {
+		_, err := event.NewReader(strings.NewReader(text)).Next()
+		c.Check(err, qt.Equals, event.ErrAnswerHead, qt.Commentf("%q", text))
+	}
+	e, err := event.NewReader(strings.NewReader("id: 1\ndata: HTTP/1.1 200 OK\n: HTTP/1.1\n\n")).Next()
+	c.Assert(err, qt.IsNil)
+	c.Check(e.ID, qt.Equals, int64(1))
+}
+
+func TestNextReportsComments(t *testing.T) {
+	c := qt.New(t)
+	r := event.NewReader(strings.NewReader(": ping\n:\n\n: ping\nid: 1\n\n"))
+	for _, want := range []bool{true, false} {
+		e, err := r.Next()
+		c.Assert(err, qt.IsNil)
+		c.Check(e.Comment, qt.Equals, want)
+	}
+}
+
 // FuzzNext checks that no byte of a complete event is lost, whatever the input.
 func FuzzNext(f *testing.F) {
 	f.Add("id: 0\ndata: a\n\nid: 1\n")
