endpoint, forward, event: merge what answers are taken for whose and for what

Five faults that the users' reports of other systems led to: an earlier refusal written once more on a kept connection, the same for a further attempt of one call, refusals that are not marked, other answers within a resumed stream, and the head of an answer within a stream.

--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -14,7 +14,9 @@
 //
 // Only complete events are passed on. If a resumable stream breaks off, it is
 // resumed at another endpoint after the last event that was passed on. Repeated
-// events are dropped; a missing event ends the attempt.
+// events are dropped; a missing event ends the attempt. So does any answer but a
+// stream that goes on at the next event, as callers would find it in their stream. A
+// resumed stream without a further event is complete only if its answer states its end.
 package forward
 
 import (
@@ -23,6 +25,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -108,6 +111,9 @@
 	// sends counts the attempts, delivered those that may have reached an
 	// endpoint, and runs those that may have been executed.
 	sends, delivered, runs int
+	// sentTo lists the addresses that the call was sent to. An answer can't tell which
+	// attempt at one address it belongs to, other than by its connection.
+	sentTo []netip.AddrPort
 	// paid is set while the current attempt is charged to the retry budget.
 	paid bool
 	// overall is the verdict over all attempts so far.
