process/advice: keep to what endpoints say of themselves in their answers

What endpoints and callers saw: an endpoint that said in its answers that it leaves got calls until the platform told, up to seconds later or never, and callers lost them when it shut down. An endpoint that refused a call and named a time for which it wants none got calls all the while, which were refused.

Cause: of all that an endpoint says of itself only its limit was read, on a path of its own through forward and balance.

Change: package advice holds all of it: the limit, as before in package limit, that the endpoint leaves, and until when it wants no calls from this host. A leaving endpoint gets no further calls, attempts or resumed streams and counts as leaving for orders at once; it holds for the incarnation and for a minute after it was last said, as by then such an endpoint is gone. Other hosts are not told: the call that tells them is served. A quiet time is never shortened and at most a minute, binds this host alone, and is followed by one call at a time, doubled by each success. Where all of a service are quiet, calls are refused at once with the time that is left.

--- /dev/null
+++ b/internal/process/advice/advice_test.go
@@ -0,0 +1,86 @@
+package advice_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
+	"github.com/dandelionlift/dandelionlift/internal/process/limit"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+var start = time.Unix(1000, 0)
+
+// quiet records that an endpoint names a time in a refusal.
+func quiet(k *advice.Keeper, at time.Duration, endpoint identity.Incarnation, named time.Duration) advice.Change {
+	return k.Record(start.Add(at), endpoint, advice.Advice{Quiet: named}, false, 0)
+}
+
+// An endpoint that has named a time gets no calls for all of it, whatever answers come
+// meanwhile, and others are not concerned.
+func TestQuietIsNeverShortened(t *testing.T) {
+	c := qt.New(t)
+	k := advice.New(limit.New())
+	c.Assert(quiet(k, 0, "a", 3*time.Second).Quiet, qt.IsTrue)
+	c.Assert(quiet(k, time.Second, "a", time.Second).Quiet, qt.IsFalse)
+	k.Record(start.Add(time.Second), "a", advice.Advice{}, true, 2*time.Second)
+	k.RecordSuccess(start.Add(time.Second), "a")
+	c.Check(k.Open(start.Add(2999*time.Millisecond), "a", 0), qt.IsFalse)
+	c.Check(k.ClosedFor(start.Add(2*time.Second), "a", 0), qt.Equals, time.Second)
+	c.Check(k.Open(start.Add(3*time.Second), "a", 0), qt.IsTrue)
+	c.Check(k.Open(start, "b", 9), qt.IsTrue)
+
+	c.Assert(quiet(k, 2*time.Second, "a", 4*time.Second).Quiet, qt.IsTrue)
+	c.Check(k.Open(start.Add(5*time.Second), "a", 0), qt.IsFalse, qt.Commentf("a later answer may lengthen it"))
+	leaving, silent := k.Counts(start.Add(5 * time.Second))
+	c.Check([]int{leaving, silent}, qt.DeepEquals, []int{0, 1})
+}
+
+// Zero and negative times have no meaning, and a huge one must not shut an endpoint out
+// for good.
+func TestQuietIsBounded(t *testing.T) {
+	c := qt.New(t)
+	k := advice.New(limit.New())
+	c.Check(quiet(k, 0, "a", 0).Quiet || quiet(k, 0, "a", -time.Second).Quiet, qt.IsFalse)
+	c.Check(k.Open(start, "a", 9), qt.IsTrue)
+	quiet(k, 0, "a", 1000*time.Hour)
+	c.Check(k.Open(start.Add(50*time.Second), "a", 0), qt.IsFalse)
+	c.Check(k.Open(start.Add(time.Minute), "a", 0), qt.IsTrue)
+}
+
+// After the time that an endpoint has named its load must not come back all at once.
+func TestLoadComesBackInStepsAfterQuiet(t *testing.T) {
+	c := qt.New(t)
+	k := advice.New(limit.New())
+	quiet(k, 0, "a", time.Second)
+	now := start.Add(time.Second)
+	for _, allowed := range []int{1, 2, 4, 8, 16} {
+		c.Check(k.Open(now, "a", allowed-1), qt.IsTrue)
+		c.Check(k.Open(now, "a", allowed), qt.IsFalse)
+		c.Check(k.ClosedFor(now, "a", allowed) > 0, qt.IsTrue)
+		k.RecordSuccess(now, "a")
+	}
+	c.Check(k.Open(now, "a", 1000), qt.IsTrue)
+	quiet(k, time.Second, "a", time.Second)
+	c.Check(k.Open(now.Add(time.Second), "a", 1), qt.IsFalse, qt.Commentf("refused again, the steps begin anew"))
+}
+
+// What an endpoint says of its end holds while it may exist, for this incarnation only.
+func TestLeavingHoldsForTheIncarnation(t *testing.T) {
+	c := qt.New(t)
+	k := advice.New(limit.New())
+	say := func(at time.Duration) bool {
+		return k.Record(start.Add(at), "a@1", advice.Advice{Leaving: true}, true, 0).Leaving
+	}
+	c.Assert(say(0), qt.IsTrue)
+	c.Assert(say(time.Second), qt.IsFalse)
+	k.Record(start.Add(2*time.Second), "a@1", advice.Advice{}, true, 2*time.Second)
+	k.Retain(start.Add(2*time.Second), map[identity.Incarnation]bool{"a@2": true})
+	c.Check(k.Leaving(start.Add(30*time.Second), "a@1"), qt.IsTrue)
+	c.Check(k.Open(start.Add(30*time.Second), "a@1", 0), qt.IsFalse)
+	c.Check(k.Open(start.Add(30*time.Second), "a@2", 0), qt.IsTrue)
+	c.Check(k.Leaving(start.Add(61*time.Second), "a@1"), qt.IsFalse)
+	c.Assert(say(62*time.Second), qt.IsTrue)
+}
--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -16,9 +16,10 @@
 // last for a while instead of being excluded, so that the ranking is unchanged if
 // all endpoints fail alike.
 //
-// # Limits
+// # Advice
 //
-// An endpoint that names a limit is excluded except in this host's turns.
+// Endpoints are excluded as they have said themselves: one that is leaving, one that
+// wants no calls for a while, and one that names a limit except in this host's turns.
 package balance
 
 import (
@@ -29,6 +30,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
 	"github.com/dandelionlift/dandelionlift/internal/process/speed"
@@ -81,7 +83,7 @@
 	zone   identity.Zone
 	region func(identity.Zone) identity.Region
 	speed  *speed.Learner
-	limits *limit.Limits
+	advice *advice.Keeper
 
 	mu        sync.Mutex
 	endpoints map[identity.Incarnation]*endpointState
@@ -112,15 +114,15 @@
 	return func(b *Balancer) { b.speed = l }
 }
 
-// WithLimits sets the limits that endpoints name.
-func WithLimits(l *limit.Limits) Option {
-	return func(b *Balancer) { b.limits = l }
+// WithAdvice sets what endpoints say of themselves.
+func WithAdvice(k *advice.Keeper) Option {
+	return func(b *Balancer) { b.advice = k }
 }
 
 // New returns a Balancer for a host in zone.
 func New(zone identity.Zone, region func(identity.Zone) identity.Region, options ...Option) *Balancer {
 	b := &Balancer{
-		zone: zone, region: region, speed: speed.New(), limits: limit.New(),
+		zone: zone, region: region, speed: speed.New(), advice: advice.New(limit.New()),
 		endpoints: make(map[identity.Incarnation]*endpointState), services: make(map[identity.Service][]*endpointState),
 	}
 	for _, option := range options {
@@ -210,20 +212,33 @@
 		best, found = b.cheapest(now, q, b.services[call.Service.ID])
 	}
 	if found {
-		b.limits.Take(best.Endpoint.Incarnation)
+		b.advice.Take(best.Endpoint.Incarnation)
 	}
 	return best.Choice, found
 }
 
-// Limited reports whether a service has endpoints that would serve a call, had they not
-// named a limit.
-func (b *Balancer) Limited(service identity.Service) bool {
+// Closed tells why a service has no endpoint for a call by what its endpoints have said.
+// limited is set if one of them would serve it, had it not named a limit. quiet is for how
+// long the first of those that are quiet wants no call, or zero.
+func (b *Balancer) Closed(now time.Time, service identity.Service) (limited bool, quiet time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.ContainsFunc(b.services[service], func(s *endpointState) bool {
-		_, limited := b.limits.Limited(s.endpoint.Incarnation)
-		return limited && !s.endpoint.Leaving
-	})
+	for _, s := range b.services[service] {
+		id := s.endpoint.Incarnation
+		if s.endpoint.Leaving || b.advice.Leaving(now, id) {
+			continue
+		}
+		if closedFor := b.advice.ClosedFor(now, id, s.own.Running); closedFor > 0 {
+			if quiet == 0 || closedFor < quiet {
+				quiet = closedFor
+			}
+			continue
+		}
+		if _, named := b.advice.Limits.Limited(id); named {
+			limited = true
+		}
+	}
+	return limited, quiet
 }
 
 // query is a call with what is derived for it once for all endpoints.
@@ -264,7 +279,7 @@
 func (b *Balancer) cheapest(now time.Time, q query, list []*endpointState) (best rankedChoice, found bool) {
 	lowestCost := 0.0
 	for _, s := range list {
-		if s.endpoint.Leaving || slices.Contains(q.Avoid, s.endpoint.Incarnation) || !b.limits.Open(s.endpoint.Incarnation) {
+		if s.endpoint.Leaving || slices.Contains(q.Avoid, s.endpoint.Incarnation) || !b.advice.Open(now, s.endpoint.Incarnation, s.own.Running) {
 			continue
 		}
 		choice := b.estimate(now, s, q)
--- /dev/null
+++ b/internal/process/forward/advice_test.go
@@ -0,0 +1,74 @@
+package forward_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+// An endpoint says in an answer that it is leaving, before the platform does: the calls
+// after it must go elsewhere, and where there is no other endpoint they are refused.
+func TestLeavingEndpointGetsNoFurtherCalls(t *testing.T) {
+	c := qt.New(t)
+	leaving := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Leaving", "1")
+		fmt.Fprint(w, "a")
+	}
+	env := newTestEnv(c, leaving, answer("b"))
+	var told []identity.Incarnation
+	env.forwarder.OnLeaving = func(id identity.Incarnation) { told = append(told, id) }
+	for range 10 {
+		_, _, failure := env.serve(catalogue.Idempotent, false, 2)
+		c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+	}
+	c.Check(env.receivers(), qt.Equals, "a"+strings.Repeat("b", 9))
+	c.Check(told, qt.DeepEquals, []identity.Incarnation{"a"})
+
+	env = newTestEnv(c, leaving)
+	_, _, failure := env.serve(catalogue.Idempotent, false, 2)
+	c.Assert(failure == nil, qt.IsTrue)
+	_, _, failure = env.serve(catalogue.Idempotent, false, 2)
+	c.Check(failure.Reason, qt.Equals, verdict.NoEndpoint)
+	c.Check(env.receivers(), qt.Equals, "a")
+}
+
+// quietFor returns a handler that refuses calls and names a time.
+func quietFor(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Quiet", text)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// An endpoint refuses a call and wants none for a while: neither further attempts nor
+// other calls may go there, though nobody else can serve them.
+func TestQuietEndpointGetsNoCalls(t *testing.T) {
+	c := qt.New(t)
+	env := newTestEnv(c, quietFor("1s"), answer("b"))
+	for range 10 {
+		got, _, failure := env.serve(catalogue.NonIdempotent, false, 1)
+		c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+		c.Assert(got.Body.String(), qt.Equals, "b")
+	}
+	c.Check(env.receivers(), qt.Equals, "a"+strings.Repeat("b", 10))
+
+	env = newTestEnv(c, quietFor("800ms"), quietFor("2s"))
+	for i := range 10 {
+		_, _, failure := env.serve(catalogue.Idempotent, false, 2)
+		c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
+		if i > 0 {
+			c.Check(failure.Reason, qt.Equals, verdict.EndpointQuiet)
+			c.Check(failure.RetryAfter > 500*time.Millisecond && failure.RetryAfter <= 800*time.Millisecond, qt.IsTrue,
+				qt.Commentf("told to come back after %v", failure.RetryAfter))
+		}
+	}
+	c.Check(env.receivers(), qt.Equals, "ab")
+}
--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/request/event"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
@@ -83,8 +84,7 @@
 	}
 	defer answer.Body.Close()
 	k.answerDelimited = answer.Delimited
-	k.limit, k.limited = k.f.Protocol.Limit(answer.Header)
-	k.recordLimit(choice, answer, time.Since(sentAt))
+	k.recordAdvice(choice, answer, time.Since(sentAt))
 	if answer.OpenedConnection {
 		k.f.meter.Counter("endpoint_connections_total").Inc()
 	}
@@ -114,14 +114,25 @@
 	return k.forwardAnswer(ctx, answer)
 }
 
-// recordLimit records the limit that an endpoint names. A refusal without one is no sign
-// that a limit has ended.
-func (k *forwarding) recordLimit(choice balance.Choice, answer *endpoint.Answer, sentBefore time.Duration) {
-	if !k.limited && k.f.Protocol.Classify(answer.Status, answer.Header) != Executed {
+// recordAdvice records what an endpoint says of itself, unless another one has answered.
+func (k *forwarding) recordAdvice(choice balance.Choice, answer *endpoint.Answer, sentBefore time.Duration) {
+	class := k.f.Protocol.Classify(answer.Status, answer.Header)
+	if class == Misdirected {
+		k.advice = advice.Advice{}
 		return
 	}
-	if k.f.Limits.Record(choice.Endpoint.Incarnation, k.limit, k.limited, sentBefore) {
-		k.f.Log.Info("endpoint_limit", "endpoint", choice.Endpoint.Incarnation, "limited", k.limited, "per_second", k.limit, "request", k.ID)
+	k.advice = k.f.Protocol.Advice(answer.Status, answer.Header)
+	id := choice.Endpoint.Incarnation
+	change := k.f.Advice.Record(time.Now(), id, k.advice, class == Executed, sentBefore)
+	if change.Limit {
+		k.f.Log.Info("endpoint_limit", "endpoint", id, "limited", k.advice.Limited, "per_second", k.advice.PerSecond, "request", k.ID)
+	}
+	if change.Quiet {
+		k.f.meter.Counter("endpoint_quiet_total").Inc()
+		k.f.Log.Info("endpoint_quiet", "endpoint", id, "for", k.advice.Quiet, "request", k.ID)
+	}
+	if change.Leaving {
+		k.f.OnLeaving(id)
 	}
 }
 
--- a/internal/process/forward/call.go
+++ b/internal/process/forward/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
@@ -65,9 +66,8 @@
 	Owner func(c *Call, answer http.Header) endpoint.Owner
 	// Classify classifies an answer by its status and header.
 	Classify func(status int, answer http.Header) AnswerClass
-	// Limit returns the calls per second that an endpoint names in an answer as what it
-	// takes from all hosts together, and whether it names any.
-	Limit func(answer http.Header) (perSecond float64, named bool)
+	// Advice returns what an endpoint says of itself in an answer.
+	Advice func(status int, answer http.Header) advice.Advice
 	// CallerHeader returns the part of an endpoint's header that is passed to the
 	// caller.
 	CallerHeader func(answer http.Header) http.Header
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
@@ -80,8 +81,11 @@
 	Log           *slog.Logger
 	// Quarantine holds the prompt parts that crash endpoints; calls with them are refused.
 	Quarantine *quarantine.Quarantine
-	// Limits holds the limits that endpoints name. The balancer keeps to them.
-	Limits *limit.Limits
+	// Advice holds what endpoints say of themselves. The balancer keeps to it.
+	Advice *advice.Keeper
+	// OnLeaving is called with an endpoint that says in an answer that it is leaving,
+	// unless it has said so before.
+	OnLeaving func(identity.Incarnation)
 
 	pool     *endpoint.Pool
 	balancer *balance.Balancer
@@ -93,8 +97,8 @@
 // New returns a Forwarder.
 func New(pool *endpoint.Pool, b *balance.Balancer, q *quota.Quota, budget *retry.Budget, m *meter.Meter) *Forwarder {
 	return &Forwarder{
-		OnExecuted: func(identity.Organisation) {}, OnOffered: func(*Call, unit.Tokens) {}, OnMisdirected: func(identity.Incarnation) {}, Log: slog.Default(),
-		Quarantine: quarantine.New(), Limits: limit.New(),
+		OnExecuted: func(identity.Organisation) {}, OnOffered: func(*Call, unit.Tokens) {}, OnMisdirected: func(identity.Incarnation) {}, OnLeaving: func(identity.Incarnation) {}, Log: slog.Default(),
+		Quarantine: quarantine.New(), Advice: advice.New(limit.New()),
 		pool: pool, balancer: b, quota: q, budget: budget, meter: m,
 	}
 }
@@ -125,9 +129,8 @@
 	lastEvent int64
 	// answerDelimited is set if the answer of the current attempt states its own end.
 	answerDelimited bool
-	// limit is the limit that the endpoint named in its latest answer, if limited is set.
-	limit   float64
-	limited bool
+	// advice is what the endpoint said of itself in its latest answer.
+	advice advice.Advice
 	// offered is set once OnOffered has been called.
 	offered bool
 	// counted is set once OnExecuted has been called.
@@ -190,7 +193,7 @@
 			k.recordAnswer(choice, time.Since(sentAt))
 			k.f.Log.Info("call_answered", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
 				"expected_wait", choice.Wait, "uncached", choice.Uncached, "attempts", k.failures, "last_event", k.lastEvent,
-				"limited", k.limited, "limit", k.limit, "after", time.Since(k.Arrived))
+				"limited", k.advice.Limited, "limit", k.advice.PerSecond, "after", time.Since(k.Arrived))
 			return nil
 		}
 		k.failures = append(k.failures, string(choice.Endpoint.Incarnation)+" "+string(failure.Reason)+" "+failure.Verdict.String())
@@ -233,11 +236,8 @@
 		choice, found = k.f.balancer.Choose(time.Now(), k.call)
 	}
 	k.recordOffered(choice, found)
-	if !found && k.f.balancer.Limited(k.Service.ID) {
-		return choice, refused(verdict.EndpointLimit, longRetryAfter)
-	}
 	if !found {
-		return choice, refused(verdict.NoEndpoint, longRetryAfter)
+		return choice, k.noEndpoint()
 	}
 	if k.sends == 0 && !choice.LightlyLoaded && choice.Wait > k.maxWait() {
 		return choice, refused(verdict.TargetOutOfReach, max(shortRetryAfter, choice.Wait-k.maxWait()))
@@ -245,6 +245,19 @@
 	return choice, nil
 }
 
+// noEndpoint returns the refusal of a call that no endpoint of the service may get now.
+func (k *forwarding) noEndpoint() *verdict.Error {
+	limited, quiet := k.f.balancer.Closed(time.Now(), k.Service.ID)
+	switch {
+	case limited:
+		return refused(verdict.EndpointLimit, longRetryAfter)
+	case quiet > 0:
+		return refused(verdict.EndpointQuiet, max(shortRetryAfter, quiet))
+	default:
+		return refused(verdict.NoEndpoint, longRetryAfter)
+	}
+}
+
 func (k *forwarding) recordOffered(choice balance.Choice, found bool) {
 	switch {
 	case k.offered:
--- a/internal/process/forward/forward_test.go
+++ b/internal/process/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/process/forward"
 	"github.com/dandelionlift/dandelionlift/internal/process/limit"
@@ -48,8 +49,8 @@
 // for a crashed endpoint.
 func newTestEnvWithBudget(c *qt.C, limits retry.Limits, handlers ...http.HandlerFunc) *testEnv {
 	env := new(testEnv)
-	named := limit.New()
-	b := balance.New("z", func(identity.Zone) identity.Region { return "r" }, balance.WithLimits(named))
+	said := advice.New(limit.New())
+	b := balance.New("z", func(identity.Zone) identity.Region { return "r" }, balance.WithAdvice(said))
 	var list []fleet.Endpoint
 	for i, handler := range handlers {
 		name := string('a' + rune(i))
@@ -73,7 +74,7 @@
 	env.balancer, env.endpoints = b, list
 	budget := retry.New(limits, func() int { return 1 })
 	env.forwarder = forward.New(endpoint.New(new(errgroup.Group)), b, quota.New(time.Now()), budget, meter.New())
-	env.forwarder.Limits = named
+	env.forwarder.Advice = said
 	env.forwarder.Protocol = forward.Protocol{
 		AttemptHeader: func(_ *forward.Call, _ fleet.Endpoint, _ time.Duration, last int64) http.Header {
 			return http.Header{"Last": {strconv.FormatInt(last, 10)}}
@@ -85,9 +86,10 @@
 			}
 			return forward.Executed
 		},
-		Limit: func(h http.Header) (float64, bool) {
+		Advice: func(_ int, h http.Header) advice.Advice {
 			perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
-			return perSecond, err == nil
+			quiet, _ := time.ParseDuration(h.Get("Quiet"))
+			return advice.Advice{PerSecond: perSecond, Limited: err == nil, Leaving: h.Get("Leaving") != "", Quiet: quiet}
 		},
 		CallerHeader: func(h http.Header) http.Header { return h },
 	}
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -52,6 +52,8 @@
 	// era is that of the endpoints' latest copy.
 	era         keyvalue.Era
 	lastFailure time.Time
+	// saidLeaving is how many endpoints had said that they are leaving at the last sweep.
+	saidLeaving int
 	lastSweep   time.Time
 }
 
@@ -88,6 +90,9 @@
 		case id := <-g.misdirections:
 			g.control.misdirected[id] = time.Now().Add(misdirectedTimeout)
 			g.publish(time.Now())
+		case id := <-g.departures:
+			g.log.Info("endpoint_leaving", "endpoint", id, "source", "answer")
+			g.publish(time.Now())
 		case now := <-ticker.C:
 			g.tick(now)
 		case <-ctx.Done():
@@ -252,9 +257,11 @@
 	g.leaving.Store(&leaving)
 }
 
-// withLocalState sets Leaving on an endpoint that is leaving or misdirected.
+// withLocalState sets Leaving on an endpoint that is leaving, by any source, or
+// misdirected. That an endpoint has said so itself is not told to other hosts: a call
+// that it gets from them meanwhile is served, and tells them.
 func (g *Gateway) withLocalState(now time.Time, e fleet.Endpoint) fleet.Endpoint {
-	if _, leaving := g.control.leaving[e.Incarnation]; leaving {
+	if _, leaving := g.control.leaving[e.Incarnation]; leaving || g.advice.Leaving(now, e.Incarnation) {
 		e.Leaving = true
 	}
 	if until, ok := g.control.misdirected[e.Incarnation]; ok && now.Before(until) {
@@ -279,7 +286,7 @@
 	g.speed.SetPeers(speeds)
 	g.shareQuota(now, live)
 	g.decideQuarantine()
-	g.limits.SetTurn(g.turn(heard))
+	g.advice.Limits.SetTurn(g.turn(heard))
 	gone := false
 	for key, kept := range g.control.retained {
 		if now.After(kept.until) {
@@ -332,9 +339,11 @@
 		current[e.Address] = true
 		incarnations[e.Incarnation] = true
 	}
-	g.limits.Retain(incarnations)
+	g.advice.Retain(now, incarnations)
+	leaving, _ := g.advice.Counts(now)
+	changed := leaving != g.control.saidLeaving
+	g.control.saidLeaving = leaving
 	g.pool.CloseIdle(now, func(a netip.AddrPort) bool { return current[a] })
-	changed := false
 	for id, since := range g.control.leaving {
 		if now.Sub(since) > leavingRetention && !g.inStore(id) {
 			delete(g.control.leaving, id)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/cloud"
 	"github.com/dandelionlift/dandelionlift/internal/connection/endpoint"
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/process/clock"
 	"github.com/dandelionlift/dandelionlift/internal/process/duty"
@@ -103,7 +104,7 @@
 	budget        *retry.Budget
 	quota         *quota.Quota
 	quarantine    *quarantine.Quarantine
-	limits        *limit.Limits
+	advice        *advice.Keeper
 	usage         *usage.Counter
 	recorder      *usage.Recorder
 	neighbours    *neighbour.Neighbours
@@ -113,13 +114,14 @@
 	group         *errgroup.Group
 	serviceDemand demandMeter
 
-	// mirrorChanged, reports and misdirections are the events that the control
-	// goroutine handles.
+	// mirrorChanged, reports, misdirections and departures are the events that the
+	// control goroutine handles.
 	mirrorChanged chan struct{}
 	// restored makes the registration start again.
 	restored      chan struct{}
 	reports       chan neighbour.Report
 	misdirections chan identity.Incarnation
+	departures    chan identity.Incarnation
 	control       controlState
 
 	catalogue atomic.Pointer[catalogue.Catalogue]
@@ -151,7 +153,7 @@
 		incarnation: identity.NewIncarnation(), started: time.Now(),
 		clock: clock.New(), quota: quota.New(time.Now(), quota.WithSlack(bounds.QuotaSlack)), group: new(errgroup.Group),
 		mirrorChanged: make(chan struct{}, 1), restored: make(chan struct{}, 1), reports: make(chan neighbour.Report, eventQueueSize),
-		misdirections: make(chan identity.Incarnation, eventQueueSize),
+		misdirections: make(chan identity.Incarnation, eventQueueSize), departures: make(chan identity.Incarnation, eventQueueSize),
 	}
 	g.control = newControl()
 	g.quarantine = quarantine.New(quarantine.WithClock(g.clock.Now))
@@ -159,9 +161,13 @@
 	g.usage = usage.New(g.incarnation, self.Zone, bounds.UsageWindow)
 	g.recorder = usage.NewRecorder(platform.Store, usagePrefix, g.usage.Total)
 	g.speed = speed.New()
-	g.limits = limit.New(limit.WithClock(g.clock.Now))
+	g.advice = advice.New(limit.New(limit.WithClock(g.clock.Now)))
 	m.Gauge("endpoints_limited", func() float64 { return float64(g.limitedEndpoints()) })
-	g.balancer = balance.New(self.Zone, g.region, balance.WithSpeed(g.speed), balance.WithLimits(g.limits))
+	m.Gauge("endpoints_quiet", func() float64 {
+		_, quiet := g.advice.Counts(time.Now())
+		return float64(quiet)
+	})
+	g.balancer = balance.New(self.Zone, g.region, balance.WithSpeed(g.speed), balance.WithAdvice(g.advice))
 	g.neighbours = neighbour.New(conn, self.Address, self.Zone, g.incarnation)
 	g.neighbours.LocalReport, g.neighbours.OnReport, g.neighbours.Log = g.localReport, g.onReport, log
 	g.neighbours.Bytes = m.Counter(`control_bytes_total{kind="neighbours"}`)
@@ -188,7 +194,7 @@
 	g.budget = retry.New(bounds.Retries, func() int { return g.neighbours.HostCount(hostCountWindow) })
 	g.forwarder = forward.New(g.pool, g.balancer, g.quota, g.budget, m)
 	g.forwarder.Protocol, g.forwarder.Log, g.forwarder.Quarantine = platform.Protocol, log, g.quarantine
-	g.forwarder.Limits = g.limits
+	g.forwarder.Advice, g.forwarder.OnLeaving = g.advice, g.onLeaving
 	g.forwarder.OnExecuted = func(id identity.Organisation) { g.usage.RecordCall(g.clock.Now(), id) }
 	g.forwarder.OnOffered, g.forwarder.OnMisdirected = g.recordDemand, g.onMisdirected
 	g.liveReports.Store(new([]neighbour.ReceivedReport))
@@ -300,7 +306,7 @@
 	}
 	g.recorder.Merge(r.UsageBegun)
 	g.quarantine.Merge(r.Quarantine)
-	g.limits.Merge(r.Limits)
+	g.advice.Limits.Merge(r.Limits)
 	if r.EvidenceOnly {
 		return
 	}
@@ -318,5 +324,14 @@
 	}
 }
 
+// onLeaving queues an endpoint that has said in an answer that it is leaving.
+func (g *Gateway) onLeaving(id identity.Incarnation) {
+	select {
+	case g.departures <- id:
+	default:
+		// The balancer knows, and the next change publishes it.
+	}
+}
+
 // SetRetryLimits replaces the limits on retries.
 func (g *Gateway) SetRetryLimits(limits retry.Limits) { g.budget.SetLimits(limits) }
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/gateway"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
@@ -488,3 +489,18 @@
 	time.Sleep(2 * reappear)
 	c.Assert(incarnation("endpoints/1"), qt.Equals, identity.Incarnation("endpoints/12"))
 }
+
+// An endpoint says in an answer that it is leaving, and the store lists it as ready. What
+// is decided by the endpoints, such as how many are ordered, must count it as leaving.
+func TestEndpointThatSaysThatItLeavesCountsAsLeaving(t *testing.T) {
+	c, s, g := startWithEndpoints(t)
+	f := g.Forwarder()
+	f.Advice.Record(time.Now(), "endpoints/1", advice.Advice{Leaving: true}, true, 0)
+	f.OnLeaving("endpoints/1")
+	waitForStates(c, g, "ready leaving ready")
+	s.set("endpoints/1", "ready")
+	s.set("endpoints/3", "ready")
+	waitForStates(c, g, "ready leaving ready ready")
+	s.set("endpoints/1", "ready@2")
+	waitForStates(c, g, "ready ready ready ready")
+}
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -63,7 +63,7 @@
 	}
 	missing := 0.0
 	for _, e := range g.balancer.Endpoints(service) {
-		if perSecond, limited := g.limits.Limited(e.Incarnation); limited && !e.Leaving {
+		if perSecond, limited := g.advice.Limits.Limited(e.Incarnation); limited && !e.Leaving {
 			missing += max(0, 1-perSecond*demand.squares/demand.busy)
 		}
 	}
@@ -74,7 +74,7 @@
 func (g *Gateway) limitedEndpoints() int {
 	count := 0
 	for _, e := range *g.endpoints.Load() {
-		if _, limited := g.limits.Limited(e.Incarnation); limited {
+		if _, limited := g.advice.Limits.Limited(e.Incarnation); limited {
 			count++
 		}
 	}
--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -37,7 +37,7 @@
 		UsageBegun:   g.recorder.Begun(),
 		Loads:        g.balancer.LocalLoads(now),
 		Leaving:      *g.leaving.Load(),
-		Limits:       g.limits.Reported(g.neighbours.IsRelay()),
+		Limits:       g.advice.Limits.Reported(g.neighbours.IsRelay()),
 		Quarantine:   g.quarantine.Evidence(g.neighbours.Relayed() && g.neighbours.IsRelay()),
 		WatchesStore: g.neighbours.IsRelay() && !g.storeFailing(),
 	}
--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -82,6 +82,7 @@
 	PromptQuarantined   Reason = "prompt_quarantined"
 	EndpointRefused     Reason = "endpoint_refused"
 	EndpointLimit       Reason = "endpoint_limit"
+	EndpointQuiet       Reason = "endpoint_quiet"
 	EndpointUnreachable Reason = "endpoint_unreachable"
 	EndpointLost        Reason = "endpoint_lost"
 	EndpointSilent      Reason = "endpoint_silent"
@@ -101,7 +102,7 @@
 	OrganisationLimit, TargetOutOfReach, QueueTimeout, NoEndpoint, ZoneCutOff,
 	ClaimUnavailable, KeyReused, KeyExpired, DuplicateRunning,
 	DeadlineExceeded, RetryBudget, PromptQuarantined,
-	EndpointRefused, EndpointLimit, EndpointUnreachable, EndpointLost, EndpointSilent, EndpointLeaving,
+	EndpointRefused, EndpointLimit, EndpointQuiet, EndpointUnreachable, EndpointLost, EndpointSilent, EndpointLeaving,
 	AnswerGap, AnswerMismatch, HostStopping, HostFull, NoConfiguration, CallerGone, AlreadyRan,
 }
 
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -32,7 +32,8 @@
 	Class       identity.Class
 	// Reclaimable is false for an on-demand host.
 	Reclaimable bool
-	// Leaving never returns to false for one incarnation.
+	// Leaving never returns to false for one incarnation, unless only the endpoint itself
+	// has said that it is leaving.
 	Leaving bool
 	// Deadline is when a leaving host shuts down; zero if unknown.
 	Deadline time.Time
