process/usage: a term that outlasts a restoration records nothing

What the platform could see: the usage of a window twice with different counts, found by review and shown by a test.

Cause: which counts a leader may report was decided by the era of its term. The term goes on for up to a renewal after a restoration, and the leader wrote its own sum where an earlier leader's record was lost; any later leader read it as a record.

Ruled out as a remedy: a look at the era of the write's answer; the wrong record stays in the store.

Change: the record is written on condition that the store holds the write by which this host is the leader. A copy with that write also has the records of all earlier leaders.

TestTermThatOutlastsARestorationRecordsNothing fails without the condition, and so do the random histories, in which leaders now keep terms over restorations and numbers are given out again.

--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		for w := first; w <= last; w++ {
-			// A report sent before the other hosts know of it is sent at the next tick.
+			// The other hosts are told one tick before a window is reported.
 			if !reported[w] && g.usage.WindowEnd(w).Add(g.bounds.UsageReportDue).After(now) && g.recorder.Begin(w, keyvalue.Revision(fence).Era()) {
 				reported[w] = g.reportUsage(ctx, w)
 			}
@@ -56,7 +56,7 @@
 	if !ok {
 		return false
 	}
-	counts, err := g.recorder.Record(ctx, w, keyvalue.Revision(fence).Era())
+	counts, err := g.recorder.Record(ctx, w, keyvalue.Condition{Key: dutyKey, Revision: keyvalue.Revision(fence)})
 	if err != nil {
 		g.log.Info("usage_not_recorded", "window", w, "error", err)
 		return errors.Is(err, usage.ErrLost)
--- a/internal/process/usage/recorder.go
+++ b/internal/process/usage/recorder.go
@@ -24,7 +24,8 @@
 // A store that is restored from an older copy loses records. The leader therefore tells
 // all hosts which windows it has begun to report, before it reports them: a later leader
 // that finds no record of such a window from an earlier era must not report counts of
-// its own.
+// its own. A record is written only while the store still holds the write by which the
+// leader became it: a copy with that write has all records of earlier leaders.
 type Recorder struct {
 	// Total returns the counts of a window as far as this host knows them.
 	Total func(Window) Counts
@@ -57,7 +58,7 @@
 }
 
 // Begin announces that this host, the leader, reports a window in an era of the store.
-// It reports whether the host has done so before: only then the other hosts know.
+// It reports whether the host has done so before, so that the other hosts have been told.
 func (r *Recorder) Begin(w Window, era keyvalue.Era) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -101,9 +102,11 @@
 }
 
 // Record returns the counts to report for a window: those that the store holds, or those
-// that this host has recorded before, or else its sum, which it records. With ErrLost
-// the window can't be reported.
-func (r *Recorder) Record(ctx context.Context, w Window, era keyvalue.Era) (Counts, error) {
+// that this host has recorded before, or else its sum, which it records. leadership is the
+// write by which this host is the leader. With ErrLost the window can't be reported; after
+// another error it may be tried again.
+func (r *Recorder) Record(ctx context.Context, w Window, leadership keyvalue.Condition) (Counts, error) {
+	era := leadership.Revision.Era()
 	r.mu.Lock()
 	known, recorded := r.records[w]
 	lost := !recorded && r.begun[w] < era
@@ -120,7 +123,7 @@
 	case !recorded:
 		known.counts = r.Total(w)
 	}
-	err := r.write(ctx, w, known.counts)
+	err := r.write(ctx, w, known.counts, leadership)
 	if errors.Is(err, keyvalue.ErrConflict) || errors.Is(err, keyvalue.ErrAmbiguous) {
 		var stored Counts
 		stored, err = r.read(ctx, w)
@@ -141,13 +144,13 @@
 func (r *Recorder) key(w Window) string { return r.prefix + strconv.FormatInt(int64(w), 10) }
 
 // write records counts for a window that has no record, and deletes an old record.
-func (r *Recorder) write(ctx context.Context, w Window, counts Counts) error {
+func (r *Recorder) write(ctx context.Context, w Window, counts Counts, leadership keyvalue.Condition) error {
 	data, err := json.Marshal(counts)
 	if err != nil {
 		return err
 	}
 	_, err = r.store.Commit(ctx, keyvalue.Transaction{
-		Conditions: []keyvalue.Condition{{Key: r.key(w)}},
+		Conditions: []keyvalue.Condition{{Key: r.key(w)}, leadership},
 		Writes:     []keyvalue.Entry{{Key: r.key(w), Data: data}},
 		Deletes:    []string{r.key(w - recordsKept)},
 	})
--- a/internal/process/usage/recorder_test.go
+++ b/internal/process/usage/recorder_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math/rand/v2"
 	"testing"
@@ -17,6 +16,7 @@
 type fakeStore struct {
 	values map[string]keyvalue.Value
 	era    keyvalue.Era
+	number uint64
 	// loseAnswer loses the answer of a commit that it reports true for.
 	loseAnswer func() bool
 }
@@ -25,9 +25,38 @@
 	return &fakeStore{values: make(map[string]keyvalue.Value), era: 1, loseAnswer: func() bool { return false }}
 }
 
-func (s *fakeStore) restore(older map[string]keyvalue.Value) {
-	s.values = maps.Clone(older)
+// leaderKey is the key whose write makes a host the leader.
+const leaderKey = "leader"
+
+func (s *fakeStore) put(key string, data []byte) keyvalue.Revision {
+	s.number++
+	revision := keyvalue.NewRevision(s.era, s.number)
+	s.values[key] = keyvalue.Value{Key: key, Data: data, Revision: revision}
+	return revision
+}
+
+// lead makes a host the leader.
+func (s *fakeStore) lead() keyvalue.Condition {
+	return keyvalue.Condition{Key: leaderKey, Revision: s.put(leaderKey, nil)}
+}
+
+// copied is a copy of a fakeStore.
+type copied struct {
+	values map[string]keyvalue.Value
+	number uint64
+}
+
+func (s *fakeStore) copy() copied { return copied{maps.Clone(s.values), s.number} }
+
+// restore replaces the contents by an older copy. Numbers are given out again.
+func (s *fakeStore) restore(older copied) {
 	s.era++
+	s.number = older.number
+	s.values = make(map[string]keyvalue.Value)
+	for key, v := range older.values {
+		v.Revision = keyvalue.NewRevision(s.era, v.Revision.Number())
+		s.values[key] = v
+	}
 }
 
 func (s *fakeStore) client() keyvalue.Store {
@@ -40,16 +69,20 @@
 			return value, nil
 		},
 		Commit: func(_ context.Context, t keyvalue.Transaction) (keyvalue.Revision, error) {
-			if _, found := s.values[t.Conditions[0].Key]; found {
-				return 0, keyvalue.ErrConflict
+			// The store itself compares numbers only.
+			for _, c := range t.Conditions {
+				if s.values[c.Key].Revision.Number() != c.Revision.Number() {
+					return 0, keyvalue.ErrConflict
+				}
 			}
+			var revision keyvalue.Revision
 			for _, w := range t.Writes {
-				s.values[w.Key] = keyvalue.Value{Key: w.Key, Data: w.Data}
+				revision = s.put(w.Key, w.Data)
 			}
 			if s.loseAnswer() {
 				return 0, keyvalue.ErrAmbiguous
 			}
-			return keyvalue.NewRevision(s.era, 1), nil
+			return revision, nil
 		},
 	}
 }
@@ -59,11 +92,16 @@
 	return usage.NewRecorder(s.client(), "usage/", func(usage.Window) usage.Counts { return usage.Counts{"o": n} })
 }
 
-// report lets a leader report window 7, and returns the counts.
+// report lets a new leader report window 7, and returns the counts.
 func report(c *qt.C, s *fakeStore, r *usage.Recorder) (int, error) {
-	for !r.Begin(7, s.era) {
+	return reportIn(c, r, s.lead())
+}
+
+// reportIn lets a leader report window 7 in its term, and returns the counts.
+func reportIn(c *qt.C, r *usage.Recorder, term keyvalue.Condition) (int, error) {
+	for !r.Begin(7, term.Revision.Era()) {
 	}
-	counts, err := r.Record(c.Context(), 7, s.era)
+	counts, err := r.Record(c.Context(), 7, term)
 	return counts["o"], err
 }
 
@@ -77,7 +115,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(counts, qt.Equals, 5)
 	second.Merge(first.Begun())
-	s.restore(map[string]keyvalue.Value{})
+	s.restore(copied{})
 	_, err = report(c, s, second)
 	c.Assert(err, qt.ErrorIs, usage.ErrLost)
 
@@ -99,7 +137,7 @@
 	_, err := report(c, s, first)
 	c.Assert(err, qt.IsNil)
 	second.Merge(first.Begun())
-	s.restore(s.values)
+	s.restore(s.copy())
 	counts, err := report(c, s, second)
 	c.Assert(err, qt.IsNil)
 	c.Assert(counts, qt.Equals, 5)
@@ -121,9 +159,28 @@
 	c.Assert(counts, qt.Equals, 6)
 }
 
+// The store is restored while a leader's term goes on for a moment. The leader must not
+// record counts of its own in place of an earlier leader's, which are lost.
+func TestTermThatOutlastsARestorationRecordsNothing(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	first, second, third := newRecorder(s, 5), newRecorder(s, 6), newRecorder(s, 7)
+	before := s.copy()
+	_, err := report(c, s, first)
+	c.Assert(err, qt.IsNil)
+	second.Merge(first.Begun())
+	term := s.lead()
+	s.restore(before)
+	counts, err := reportIn(c, second, term)
+	c.Assert(err, qt.IsNotNil, qt.Commentf("%d", counts))
+	third.Merge(second.Begun())
+	counts, err = report(c, s, third)
+	c.Assert(err, qt.ErrorIs, usage.ErrLost, qt.Commentf("%d", counts))
+}
+
 // Leaders follow each other while the store is restored from copies of any age and loses
-// answers, and the platform's answers are lost, too: no window may reach the platform
-// with two different counts.
+// answers, terms outlast restorations, and the platform's answers are lost, too: no window
+// may reach the platform with two different counts.
 func TestCountsOfAWindowNeverDifferOverRandomRestorations(t *testing.T) {
 	const hosts, steps, runs = 4, 40, 500
 	reports := 0
@@ -136,37 +193,45 @@
 		for i := range hosts {
 			recorders = append(recorders, newRecorder(s, i))
 		}
-		copies := []map[string]keyvalue.Value{{}}
+		leader, term := recorders[0], s.lead()
+		copies := []copied{s.copy()}
 		received := make(map[usage.Window]usage.Counts)
 		for range steps {
-			switch random.IntN(6) {
+			switch random.IntN(8) {
 			case 0:
 				s.restore(copies[random.IntN(len(copies))])
+				// Other writes take the numbers that are given out again.
+				s.number += uint64(random.IntN(3))
 				continue
 			case 1:
-				copies = append(copies, maps.Clone(s.values))
+				copies = append(copies, s.copy())
 				continue
 			case 2:
 				// A host starts again and hears the others before it can lead.
 				i := random.IntN(hosts)
+				if recorders[i] == leader {
+					continue
+				}
 				recorders[i] = newRecorder(s, 10+random.IntN(10))
 				for _, r := range recorders {
 					recorders[i].Merge(r.Begun())
 				}
 				continue
+			case 3:
+				leader, term = recorders[random.IntN(hosts)], s.lead()
+				continue
 			}
-			leader, w := recorders[random.IntN(hosts)], usage.Window(random.IntN(3))
-			if !leader.Begin(w, s.era) {
+			w := usage.Window(random.IntN(3))
+			if !leader.Begin(w, term.Revision.Era()) {
 				for _, r := range recorders {
 					r.Merge(leader.Begun())
 				}
 				continue
 			}
-			counts, err := leader.Record(c.Context(), w, s.era)
-			if errors.Is(err, usage.ErrLost) {
+			counts, err := leader.Record(c.Context(), w, term)
+			if err != nil {
 				continue
 			}
-			c.Assert(err, qt.IsNil)
 			reports++
 			if before, known := received[w]; known {
 				c.Assert(counts, qt.DeepEquals, before, qt.Commentf("seed %d, window %d", seed, w))
