process/mirror: forget a failure when others watch the store

Cause, found by review: in a relayed fleet a host whose watch failed, and which then left the watching to its zone's relays, took the store for failing ever after. Around each removal of an endpoint it then waited for a new entry, near the time within which a leaving endpoint must get no more calls.

Change: a host that stops watching forgets what its own calls met last.

TestFailureIsForgottenByAHostThatWatchesNoMore fails without the change.

--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -136,6 +136,7 @@
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		if m.Loaded(prefix) && !m.ShouldWatch() {
+			m.forgetFailure(prefix)
 			pause.For(ctx, pollInterval)
 			continue
 		}
@@ -316,6 +317,13 @@
 	}
 }
 
+// forgetFailure forgets that the store did not answer, when this host calls it no more.
+func (m *Mirror) forgetFailure(prefix string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.states[prefix].failingSince = time.Time{}
+}
+
 // FailingSince returns since when the store has not answered for a prefix, and
 // whether that is so.
 func (m *Mirror) FailingSince(prefix string) (since time.Time, failing bool) {
--- a/internal/process/mirror/mirror_test.go
+++ b/internal/process/mirror/mirror_test.go
@@ -29,7 +29,9 @@
 	down       bool
 	compacted  keyvalue.Revision
 	rangeCalls int
-	changed    chan struct{}
+	// watchedByOthers is set while the mirror need not watch itself.
+	watchedByOthers bool
+	changed         chan struct{}
 }
 
 func newStore() *fakeStore {
@@ -161,6 +163,11 @@
 		s := newStore()
 		s.set("endpoints/a", "1")
 		m := mirror.New(s.client(), prefix)
+		m.ShouldWatch = func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return !s.watchedByOthers
+		}
 		group := new(errgroup.Group)
 		group.Go(func() error { return m.Run(ctx) })
 		time.Sleep(100 * time.Millisecond)
@@ -332,3 +339,19 @@
 		c.Assert(value(m, "endpoints/c"), qt.Equals, "1")
 	})
 }
+
+// A host whose calls failed leaves the watching to others. It must not take the store for
+// failing ever after.
+func TestFailureIsForgottenByAHostThatWatchesNoMore(t *testing.T) {
+	runMirror(t, func(c *qt.C, s *fakeStore, m *mirror.Mirror) {
+		s.withLock(func() { s.down = true })
+		m.RestartWatch(prefix)
+		time.Sleep(100 * time.Millisecond)
+		_, failing := m.FailingSince(prefix)
+		c.Assert(failing, qt.IsTrue)
+		s.withLock(func() { s.watchedByOthers = true })
+		time.Sleep(time.Second)
+		_, failing = m.FailingSince(prefix)
+		c.Assert(failing, qt.IsFalse)
+	})
+}
