process/gateway: keep endpoints while the store can't list them

What callers lost, found by review: endpoints that had booted since the copy counted as leaving for good if the store was away or restored once more before they had registered again, at this host and by its reports at others.

Cause: the time to register again ran while the store did not answer, and ended in a step that is never undone. A neighbour's word that an endpoint leaves was ignored while the endpoint had no entry.

Change: the time runs from the store's last failure or restoration, and what neighbours say counts for endpoints that are kept, too.

TestEndpointsAreKeptOverTwoRestorations fails without the change.

--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -186,7 +186,7 @@
 
 // handleRemovals marks the endpoints of removed entries as leaving. Around a store
 // outage an entry may have expired although its endpoint is alive, so the endpoint is
-// retained until it has had time to register again.
+// retained until it has had time to register again since the store last failed.
 func (g *Gateway) handleRemovals(now time.Time, previous map[string]entry) {
 	var removed []string
 	for key := range previous {
@@ -287,9 +287,12 @@
 	g.shareQuota(now, live)
 	g.decideQuarantine()
 	g.advice.Limits.SetTurn(g.turn(heard))
+	if _, failing := g.mirror.FailingSince(g.platform.EndpointPrefix); failing {
+		g.control.lastFailure = now
+	}
 	gone := false
 	for key, kept := range g.control.retained {
-		if now.After(kept.until) {
+		if now.After(kept.until) && now.Sub(g.control.lastFailure) > g.bounds.ReappearTimeout {
 			delete(g.control.retained, key)
 			g.control.leaving[kept.endpoint.Incarnation] = now
 			g.log.Info("endpoint_gone", "endpoint", kept.endpoint.Host, "waited", g.bounds.ReappearTimeout)
@@ -358,12 +361,17 @@
 	return changed
 }
 
-// inStore reports whether the store lists an endpoint.
+// inStore reports whether the store lists an endpoint, or may do so again.
 func (g *Gateway) inStore(id identity.Incarnation) bool {
 	for _, e := range g.control.entries {
 		if e.endpoint.Incarnation == id {
 			return true
 		}
 	}
+	for _, kept := range g.control.retained {
+		if kept.endpoint.Incarnation == id {
+			return true
+		}
+	}
 	return false
 }
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -504,3 +504,20 @@
 	s.set("endpoints/1", "ready@2")
 	waitForStates(c, g, "ready ready ready ready")
 }
+
+// The store is restored a second time, or away again, before an endpoint could register
+// after the first time. It must not count as gone for good.
+func TestEndpointsAreKeptOverTwoRestorations(t *testing.T) {
+	c, s, g := startWithEndpoints(t)
+	older := map[string]string{"configuration": "2", "endpoints/0": "ready", "endpoints/1": "ready", "endpoints/seen": "ready"}
+	s.restore(older)
+	waitForStates(c, g, "ready ready ready ready")
+	s.setDown(true)
+	time.Sleep(2 * reappear)
+	s.restore(older)
+	s.setDown(false)
+	time.Sleep(reappear / 2)
+	s.set("endpoints/2", "ready")
+	time.Sleep(3 * reappear)
+	waitForStates(c, g, "ready ready ready ready")
+}
