process/gateway: an earlier start of an endpoint is gone when a later one appears

Cause, found by review: the restored entry of an earlier start was used after all if the later one was leaving, since nothing remembered that the earlier had ended. Calls could reach the later one, which has the same name.

Change: an incarnation counts as leaving when a later one appears under its key.

TestEntryOfAnEarlierStartOfALeavingEndpointIsNotUsed fails without it.

--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -180,6 +180,9 @@
 	if e.Leaving {
 		g.markLeaving(now, e.Incarnation, "store", item.Revision)
 	}
+	if ended := previous.endpoint.Incarnation; ended != "" && ended != e.Incarnation {
+		g.markLeaving(now, ended, "later start", item.Revision)
+	}
 	g.control.entries[item.Key] = entry{endpoint: e, revision: item.Revision}
 	delete(g.control.retained, item.Key)
 }
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -521,3 +521,23 @@
 	time.Sleep(3 * reappear)
 	waitForStates(c, g, "ready ready ready ready")
 }
+
+// An endpoint that had started again was leaving when the store was restored from a copy
+// with the entry of its earlier start, which has ended.
+func TestEntryOfAnEarlierStartOfALeavingEndpointIsNotUsed(t *testing.T) {
+	c, s, g := startWithEndpoints(t)
+	s.set("endpoints/1", "ready@1")
+	waitForStates(c, g, "ready ready ready")
+	time.Sleep(reappear)
+	s.set("endpoints/1", "draining@2")
+	waitForStates(c, g, "ready leaving ready")
+	older := map[string]string{"configuration": "2", "endpoints/0": "ready", "endpoints/1": "ready@1", "endpoints/2": "ready"}
+	s.restore(older)
+	for range 4 {
+		time.Sleep(reappear)
+		s.set("endpoints/0", "ready")
+		for _, e := range g.Endpoints() {
+			c.Check(e.Host != "endpoints/1" || e.Leaving, qt.IsTrue, qt.Commentf("%s", e.Incarnation))
+		}
+	}
+}
