process/gateway: a first term is no restoration for the quarantines

Cause, found by review: the era is zero before the first copy, so that a leader stored its quarantines at its first term as if the store had been restored, and erased those that it had not heard of.

Change: only an era that rises while the host leads, or between two of its terms, makes it store them again. Covered by TestOwnKeysAreWrittenAgainAfterARestoration for the restoration itself.

--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -54,14 +54,16 @@
 // runQuarantine stores the quarantines while this host is the leader, so that they
 // outlast a restart of all hosts. In a restored store they are stored again.
 func (g *Gateway) runQuarantine(ctx context.Context) error {
-	stored, era := "null", g.storeEra()
+	stored, era, led := "null", keyvalue.Era(0), false
 	for pause.For(ctx, quarantineInterval) {
 		if _, ok := g.elector.Fence(); !ok {
 			continue
 		}
-		if latest := g.storeEra(); latest != era {
-			stored, era = "", latest
+		latest := g.storeEra()
+		if led && latest != era {
+			stored = ""
 		}
+		era, led = latest, true
 		data, err := json.Marshal(g.quarantine.Orders())
 		if err != nil || string(data) == stored {
 			continue
