--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -116,8 +116,9 @@
 
 // Pool is a pool of connections to endpoints. Create one with New.
 type Pool struct {
-	dial  func(ctx context.Context, network, address string) (net.Conn, error)
-	group *errgroup.Group
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	maxIdle func(netip.AddrPort) int
+	group   *errgroup.Group
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
@@ -131,6 +132,12 @@
 	return func(p *Pool) { p.dial = dial }
 }
 
+// WithMaxIdle sets the function that returns how many idle connections to an endpoint are
+// kept; at most maxIdlePerEndpoint are. It must be quick and safe for concurrent use.
+func WithMaxIdle(maxIdle func(netip.AddrPort) int) Option {
+	return func(p *Pool) { p.maxIdle = maxIdle }
+}
+
 // NewDialer returns a dialer whose connections detect within seconds that they are
 // dead.
 func NewDialer() *net.Dialer {
@@ -144,7 +151,10 @@
 
 // New returns a Pool whose write goroutines run in group.
 func New(group *errgroup.Group, options ...Option) *Pool {
-	p := &Pool{dial: NewDialer().DialContext, group: group, idle: make(map[netip.AddrPort][]*conn)}
+	p := &Pool{
+		dial: NewDialer().DialContext, maxIdle: func(netip.AddrPort) int { return maxIdlePerEndpoint }, group: group,
+		idle: make(map[netip.AddrPort][]*conn),
+	}
 	for _, option := range options {
 		option(p)
 	}
@@ -282,15 +292,20 @@
 	c.lastUsed = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdlePerEndpoint {
+	if len(p.idle[address]) >= p.maxIdleTo(address) {
 		c.Close()
 		return
 	}
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// CloseIdle closes connections that have been idle for too long, and all idle
-// connections to addresses for which keep returns false.
+// maxIdleTo returns how many idle connections to an endpoint are kept.
+func (p *Pool) maxIdleTo(address netip.AddrPort) int {
+	return max(0, min(maxIdlePerEndpoint, p.maxIdle(address)))
+}
+
+// CloseIdle closes connections that have been idle for too long, those that exceed the
+// number to keep, and all idle connections to addresses for which keep returns false.
 func (p *Pool) CloseIdle(now time.Time, keep func(netip.AddrPort) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -303,6 +318,11 @@
 			}
 			c.Close()
 		}
+		excess := max(0, len(remaining)-p.maxIdleTo(address))
+		for _, c := range remaining[:excess] {
+			c.Close()
+		}
+		remaining = slices.Delete(remaining, 0, excess)
 		p.idle[address] = remaining
 		if len(remaining) == 0 {
 			delete(p.idle, address)
