--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -258,6 +258,7 @@
 	g.balancer.SetEndpoints(published)
 	g.endpoints.Store(&published)
 	g.leaving.Store(&leaving)
+	g.updateIdleLimits()
 }
 
 // withLocalState sets Leaving on an endpoint that is leaving, by any source, or
@@ -290,6 +291,7 @@
 	g.shareQuota(now, live)
 	g.decideQuarantine()
 	g.advice.Limits.SetTurn(g.turn(heard))
+	g.updateIdleLimits()
 	if _, failing := g.mirror.FailingSince(g.platform.EndpointPrefix); failing {
 		g.control.lastFailure = now
 	}
