--- a/internal/connection/keyvalue/range.go
+++ b/internal/connection/keyvalue/range.go
@@ -83,6 +83,8 @@
 	Changes func(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
 	// Commit executes a transaction. ErrConflict, ErrNoLease and ErrRestored say that
 	// it had no effect. ErrAmbiguous leaves that open: it may even take effect later.
+	// A transaction that met the restoration on its way may have compared lost revisions
+	// and leases by number alone: the revision is then of a later era than they are.
 	Commit func(ctx context.Context, t Transaction) (Revision, error)
 	// Grant creates a lease, whose time to live starts when the call arrives.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
