process/duty: a new leader of a restored store waits until older terms have ended

Cause: the copy lacks the leader's key, so another host took it and acted at once, while the old leader believed in its lease for up to 2.3 s more. A host whose lease was granted before the restoration and whose write arrived after it also wrote the key under the number of a lost lease, which is perhaps another host's.

Ruled out: fences. They rise across a restoration, but order the calls only where the platform requires fences.

Change: the Elector knows the store's latest era, from its own answers and from ObserveEra, which the gateway calls with the era of its copies (the first one too). A host that takes the key acts a lease's duration after it first learned of the era at the earliest: older terms were last renewed before the restoration. A leader makes no calls once it knows a later era than its lease's. A key that was written under a lease of an earlier era is written again under a new one.

TestNewLeaderOfARestoredStoreWaitsForTheOldOne, TestFirstEraLearnedLateIsWaitedFor and two of six cases of TestRestorationWhileTheKeyIsTaken fail without the change.

--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -6,24 +6,32 @@
 // The leader holds a key in the store under a lease. It counts the lease from the
 // moment before it sent the last renewal, and ends its term a margin earlier, by
 // both the monotonic and the wall clock, so that it stops acting before the key
-// expires even if it was suspended.
+// expires even if it was suspended. A leader that learns that the store was
+// restored, which loses the lease, stops at once.
 //
 // # Fences
 //
 // The revision of the leader's last write of the key is the fence that its calls
 // carry. After a call that got no answer the leader writes the key again: its next
 // calls carry a higher fence, so the unanswered one can't take effect after them.
+// Fences of a restored store are higher than all before.
 //
 // # Taking over
 //
 // A host that lost the leadership, or that has just started, waits before it acts:
 // first CallTimeout, within which its last call may still arrive, then a lease's
 // duration. So no host acts, is replaced and acts again within a lease's duration.
+//
+// A restored store may lack the key of a leader that still acts. So a host that takes
+// the key also waits until a lease's duration after it first learned of the store's
+// era: by then every term of an earlier era has ended, as none was renewed after the
+// restoration.
 package duty
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -70,6 +78,14 @@
 	earliestStart time.Time
 	term          atomic.Pointer[term]
 	raiseFence    chan struct{}
+	latestEra     atomic.Pointer[seenEra]
+}
+
+// seenEra is an era of the store, and when this host first learned of it. Nothing
+// precedes era zero, so it needs no time. It is immutable.
+type seenEra struct {
+	era   keyvalue.Era
+	since time.Time
 }
 
 // term is one term of leadership. It is immutable.
@@ -83,17 +99,28 @@
 // New returns an Elector that elects the leader by key, under a lease that lasts
 // ttl.
 func New(store keyvalue.Store, key string, inc identity.Incarnation, ttl time.Duration) *Elector {
-	return &Elector{
+	e := &Elector{
 		HasOtherLeader: func() bool { return false }, Rank: func() int { return 0 }, Log: slog.Default(),
 		store: store, key: key, owner: []byte(inc), ttl: ttl,
 		earliestStart: time.Now().Add(ttl + CallTimeout), raiseFence: make(chan struct{}, 1),
 	}
+	e.latestEra.Store(new(seenEra))
+	return e
+}
+
+// ObserveEra records that this host has seen an era of the store. The sooner it learns
+// of one, the sooner it may act in it.
+func (e *Elector) ObserveEra(era keyvalue.Era) {
+	next := &seenEra{era: era, since: time.Now()}
+	for latest := e.latestEra.Load(); era > latest.era; latest = e.latestEra.Load() {
+		e.latestEra.CompareAndSwap(latest, next)
+	}
 }
 
 // Fence returns the fence for a leader's call, and whether this host may make one now.
 func (e *Elector) Fence() (identity.Fence, bool) {
 	t := e.term.Load()
-	if t == nil || !t.valid(time.Now()) || time.Now().Before(t.start) {
+	if t == nil || !t.valid(time.Now()) || time.Now().Before(t.start) || e.outdated(t) {
 		return 0, false
 	}
 	return identity.Fence(t.revision), true
@@ -103,6 +130,9 @@
 	return now.Before(t.expiry) && now.Round(0).Before(t.expiry.Round(0))
 }
 
+// outdated reports whether the store was restored after it granted the lease of t.
+func (e *Elector) outdated(t *term) bool { return t.lease.Era < e.latestEra.Load().era }
+
 // RaiseFence requests a higher fence because a call got no answer.
 func (e *Elector) RaiseFence() {
 	select {
@@ -137,30 +167,55 @@
 // acquire writes the key if it is absent. It returns nil if this host did not become
 // the leader.
 func (e *Elector) acquire(ctx context.Context) *term {
-	if _, err := e.store.Get(ctx, e.key); !errors.Is(err, keyvalue.ErrAbsent) {
-		return nil
+	value, err := e.store.Get(ctx, e.key)
+	if err == nil {
+		e.ObserveEra(value.Revision.Era())
 	}
-	sent := time.Now()
-	lease, err := e.store.Grant(ctx, e.ttl)
-	if err != nil {
-		e.Log.Info("duty_not_taken", "step", "lease", "error", err)
+	if !errors.Is(err, keyvalue.ErrAbsent) {
 		return nil
 	}
-	revision, err := e.writeKey(ctx, lease, 0)
+	t, err := e.take(ctx, 0)
 	if err != nil {
-		e.Log.Info("duty_not_taken", "step", "key", "error", err)
+		e.Log.Info("duty_not_taken", "error", err)
 		return nil
 	}
-	start := time.Now()
-	if start.Before(e.earliestStart) {
-		start = e.earliestStart
-	}
-	t := &term{lease: lease, revision: revision, start: start, expiry: sent.Add(e.ttl - expiryMargin)}
+	t.start = later(time.Now(), later(e.earliestStart, e.latestEra.Load().since.Add(e.ttl)))
 	e.term.Store(t)
-	e.Log.Info("duty_taken", "fence", revision, "acts_from", time.Until(start))
+	e.Log.Info("duty_taken", "fence", t.revision, "acts_from", time.Until(t.start))
 	return t
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// take writes the key under a new lease if its revision is current. It returns a term
+// without a start.
+func (e *Elector) take(ctx context.Context, current keyvalue.Revision) (*term, error) {
+	for {
+		sent := time.Now()
+		lease, err := e.store.Grant(ctx, e.ttl)
+		if err != nil {
+			return nil, fmt.Errorf("grant lease: %w", err)
+		}
+		e.ObserveEra(lease.Era)
+		revision, err := e.writeKey(ctx, lease, current)
+		if err != nil {
+			return nil, fmt.Errorf("write key: %w", err)
+		}
+		e.ObserveEra(revision.Era())
+		if revision.Era() == lease.Era {
+			return &term{lease: lease, revision: revision, expiry: sent.Add(e.ttl - expiryMargin)}, nil
+		}
+		// The store was restored in between, so the key is under the lease that now has
+		// this number, which may be another host's.
+		current = revision
+	}
+}
+
 // writeKey sets the key if its revision is current. If the outcome is unknown, it reads
 // the key to find out.
 func (e *Elector) writeKey(ctx context.Context, lease keyvalue.LeaseID, current keyvalue.Revision) (keyvalue.Revision, error) {
@@ -225,6 +280,9 @@
 	ctx, cancel := context.WithDeadline(ctx, t.expiry)
 	defer cancel()
 	revision, err := e.writeKey(ctx, t.lease, t.revision)
+	if err == nil && revision.Era() != t.lease.Era {
+		err = keyvalue.ErrRestored
+	}
 	if err != nil {
 		e.Log.Info("fence_not_raised", "fence", t.revision, "error", err)
 		return nil
--- a/internal/process/duty/duty_test.go
+++ b/internal/process/duty/duty_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,104 +21,212 @@
 
 const ttl = 3 * time.Second
 
-// fakeStore holds one key under leases that expire in virtual time.
+// fakeStore holds one key under leases that expire in virtual time. It can be restored
+// from an older copy.
 type fakeStore struct {
-	mu       sync.Mutex
-	revision keyvalue.Revision
-	value    keyvalue.Value
-	lease    keyvalue.LeaseID
-	next     keyvalue.LeaseID
-	expiries map[keyvalue.LeaseID]time.Time
+	mu sync.Mutex
+	contents
+	era keyvalue.Era
 	// leaseRatio is the actual duration of a lease as a fraction of the requested one.
 	leaseRatio float64
 	// loseAnswers loses the answers of committed transactions.
 	loseAnswers bool
 }
 
+// contents is what a copy of the store holds. Numbers are the store's own, without the
+// era; an item with the number zero is absent.
+type contents struct {
+	number    uint64
+	data      []byte
+	revision  uint64
+	lease     uint64
+	lastLease uint64
+	expiries  map[uint64]time.Time
+}
+
 func newStore() *fakeStore {
-	return &fakeStore{expiries: make(map[keyvalue.LeaseID]time.Time), leaseRatio: 1}
+	return &fakeStore{contents: contents{expiries: make(map[uint64]time.Time)}, leaseRatio: 1}
+}
+
+// copy returns a copy of the store's contents.
+func (s *fakeStore) copy() contents {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	older := s.contents
+	older.expiries = maps.Clone(older.expiries)
+	return older
+}
+
+// restore replaces the contents by an older copy, in a new era.
+func (s *fakeStore) restore(older contents) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contents = older
+	s.expiries = maps.Clone(older.expiries)
+	s.era++
 }
 
 // extend restarts a lease from now.
-func (s *fakeStore) extend(lease keyvalue.LeaseID, asked time.Duration) {
+func (s *fakeStore) extend(lease uint64, asked time.Duration) {
 	s.expiries[lease] = time.Now().Add(time.Duration(s.leaseRatio * float64(asked)))
 }
 
+func (s *fakeStore) ended(lease uint64) bool { return !time.Now().Before(s.expiries[lease]) }
+
 // expire removes the key if its lease has expired.
 func (s *fakeStore) expire() {
-	if s.value.Revision > 0 && !time.Now().Before(s.expiries[s.lease]) {
-		s.value = keyvalue.Value{}
+	if s.revision > 0 && s.ended(s.lease) {
+		s.number++
+		s.revision, s.data = 0, nil
+	}
+}
+
+// grant returns the number of a new lease.
+func (s *fakeStore) grant(ttl time.Duration) uint64 {
+	s.lastLease++
+	s.extend(s.lastLease, ttl)
+	return s.lastLease
+}
+
+// commit executes a transaction on the key, which names revisions and leases by their
+// numbers alone.
+func (s *fakeStore) commit(t keyvalue.Transaction) (uint64, error) {
+	if t.Conditions[0].Revision.Number() != s.revision {
+		return 0, keyvalue.ErrConflict
 	}
+	if s.ended(t.Writes[0].Lease.Number) {
+		return 0, keyvalue.ErrNoLease
+	}
+	s.number++
+	s.data, s.revision, s.lease = t.Writes[0].Data, s.number, t.Writes[0].Lease.Number
+	return s.number, nil
+}
+
+// storeClient is one host's client of a fakeStore.
+type storeClient struct {
+	store *fakeStore
+	// down reports whether calls fail.
+	down func() bool
+	// travel is called as each request and each answer travels.
+	travel func()
+	// answered is called with the store locked after each call that it answered.
+	answered func(call string)
+
+	// mu also protects travel and answered.
+	mu  sync.Mutex
+	era keyvalue.Era
 }
 
 // client returns a host's client of the store, which fails while down returns true.
-func (s *fakeStore) client(down func() bool) keyvalue.Store {
-	prepare := func() error {
-		if down() {
-			return keyvalue.ErrUnavailable
-		}
-		s.expire()
-		return nil
+func (s *fakeStore) client(down func() bool) *storeClient {
+	return &storeClient{store: s, down: down, travel: func() {}, answered: func(string) {}}
+}
+
+// learn records the era of an answer and returns the latest known one.
+func (c *storeClient) learn(era keyvalue.Era) keyvalue.Era {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era = max(c.era, era)
+	return c.era
+}
+
+// call executes do at the store, and returns the era in which that was. A call that
+// names a lease or revision of another era than known fails at once; one that turns out
+// to have done so returns ErrRestored in place of the errors for an unknown one.
+func (c *storeClient) call(name string, named []keyvalue.Era, do func() error) (keyvalue.Era, error) {
+	c.mu.Lock()
+	travel, answered := c.travel, c.answered
+	c.mu.Unlock()
+	travel()
+	latest := c.learn(0)
+	isOther := func(e keyvalue.Era) bool { return e != latest }
+	if slices.ContainsFunc(named, isOther) {
+		return latest, keyvalue.ErrRestored
+	}
+	travel()
+	c.store.mu.Lock()
+	if c.down() {
+		c.store.mu.Unlock()
+		return latest, keyvalue.ErrUnavailable
+	}
+	c.store.expire()
+	err := do()
+	era := c.store.era
+	answered(name)
+	c.store.mu.Unlock()
+	travel()
+	c.store.mu.Lock()
+	lost := c.down()
+	c.store.mu.Unlock()
+	if lost && name == "get" {
+		return latest, keyvalue.ErrUnavailable
+	}
+	if lost {
+		return latest, keyvalue.ErrAmbiguous
 	}
+	c.learn(era)
+	latest = era
+	if slices.ContainsFunc(named, isOther) && (errors.Is(err, keyvalue.ErrConflict) || errors.Is(err, keyvalue.ErrNoLease) || name == "keep" || name == "revoke") {
+		return era, keyvalue.ErrRestored
+	}
+	return era, err
+}
+
+// keyvalue returns the client as a Store.
+func (c *storeClient) keyvalue() keyvalue.Store {
+	s := c.store
 	return keyvalue.Store{
-		Get: func(context.Context, string) (keyvalue.Value, error) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if err := prepare(); err != nil {
-				return keyvalue.Value{}, err
-			}
-			if s.value.Revision == 0 {
-				return keyvalue.Value{}, keyvalue.ErrAbsent
-			}
-			return s.value, nil
+		Get: func(_ context.Context, key string) (keyvalue.Value, error) {
+			var number uint64
+			var data []byte
+			era, err := c.call("get", nil, func() error {
+				number, data = s.revision, s.data
+				if number == 0 {
+					return keyvalue.ErrAbsent
+				}
+				return nil
+			})
+			return keyvalue.Value{Key: key, Data: data, Revision: keyvalue.NewRevision(era, number)}, err
 		},
 		Commit: func(_ context.Context, t keyvalue.Transaction) (keyvalue.Revision, error) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if err := prepare(); err != nil {
-				return 0, err
-			}
-			if t.Conditions[0].Revision != s.value.Revision {
-				return 0, keyvalue.ErrConflict
-			}
-			s.revision++
-			s.value = keyvalue.Value{Key: t.Writes[0].Key, Data: t.Writes[0].Data, Revision: s.revision}
-			s.lease = t.Writes[0].Lease
-			if s.loseAnswers {
-				return 0, keyvalue.ErrAmbiguous
+			named := []keyvalue.Era{t.Writes[0].Lease.Era}
+			if r := t.Conditions[0].Revision; r != 0 {
+				named = append(named, r.Era())
 			}
-			return s.revision, nil
+			var number uint64
+			era, err := c.call("commit", named, func() (err error) {
+				number, err = s.commit(t)
+				if err == nil && s.loseAnswers {
+					return keyvalue.ErrAmbiguous
+				}
+				return err
+			})
+			return keyvalue.NewRevision(era, number), err
 		},
 		Grant: func(_ context.Context, ttl time.Duration) (keyvalue.LeaseID, error) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if err := prepare(); err != nil {
-				return keyvalue.LeaseID{}, err
-			}
-			s.next.Number++
-			s.extend(s.next, ttl)
-			return s.next, nil
+			var number uint64
+			era, err := c.call("grant", nil, func() error {
+				number = s.grant(ttl)
+				return nil
+			})
+			return keyvalue.LeaseID{Number: number, Era: era}, err
 		},
 		KeepAlive: func(_ context.Context, lease keyvalue.LeaseID) error {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if err := prepare(); err != nil {
-				return err
-			}
-			if !time.Now().Before(s.expiries[lease]) {
-				return keyvalue.ErrNoLease
-			}
-			s.extend(lease, ttl)
-			return nil
+			_, err := c.call("keep", []keyvalue.Era{lease.Era}, func() error {
+				if s.ended(lease.Number) {
+					return keyvalue.ErrNoLease
+				}
+				s.extend(lease.Number, ttl)
+				return nil
+			})
+			return err
 		},
 		Revoke: func(_ context.Context, lease keyvalue.LeaseID) error {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if err := prepare(); err != nil {
-				return err
-			}
-			s.expiries[lease] = time.Now()
-			return nil
+			_, err := c.call("revoke", []keyvalue.Era{lease.Era}, func() error {
+				s.expiries[lease.Number] = time.Now()
+				return nil
+			})
+			return err
 		},
 	}
 }
@@ -124,6 +236,7 @@
 type cluster struct {
 	store    *fakeStore
 	down     []bool
+	clients  []*storeClient
 	electors []*duty.Elector
 }
 
@@ -133,9 +246,12 @@
 		h := &cluster{store: newStore(), down: make([]bool, count)}
 		group := new(errgroup.Group)
 		for i := range count {
-			e := duty.New(h.store.client(func() bool { return h.down[i] }), "duty", identity.Incarnation('a'+rune(i)), ttl)
+			client := h.store.client(func() bool { return h.down[i] })
+			e := duty.New(client.keyvalue(), "duty", identity.Incarnation('a'+rune(i)), ttl)
 			e.Rank = func() int { return i }
-			h.electors = append(h.electors, e)
+			h.clients, h.electors = append(h.clients, client), append(h.electors, e)
+		}
+		for _, e := range h.electors {
 			group.Go(func() error { return e.Run(ctx) })
 		}
 		scenario(qt.New(t), h)
@@ -231,3 +347,119 @@
 		c.Assert(h.observeLeaders(c, 5*time.Second), qt.DeepEquals, []int{0})
 	})
 }
+
+// waitForHolder waits until a host may act.
+func (cl *cluster) waitForHolder(c *qt.C) {
+	c.Helper()
+	for range 2000 {
+		if len(cl.leaders()) > 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatal("no host acts")
+}
+
+// setDown disconnects a host from the store, or connects it.
+func (cl *cluster) setDown(i int, down bool) {
+	cl.store.mu.Lock()
+	defer cl.store.mu.Unlock()
+	cl.down[i] = down
+}
+
+// The leader is cut off from the store, which comes back from a copy without its key.
+// Another host took the key at once and acted while the leader still did.
+func TestNewLeaderOfARestoredStoreWaitsForTheOldOne(t *testing.T) {
+	for _, observed := range []bool{false, true} {
+		runCluster(t, 2, func(c *qt.C, h *cluster) {
+			older := h.store.copy()
+			c.Assert(h.observeLeaders(c, 10*time.Second), qt.DeepEquals, []int{0})
+			h.setDown(0, true)
+			h.store.restore(older)
+			if observed {
+				h.electors[1].ObserveEra(1)
+			}
+			c.Assert(h.observeLeaders(c, 10*time.Second), qt.DeepEquals, []int{0, 1})
+		})
+	}
+}
+
+// A host that was cut off since its start learns late that there is a restored store, and
+// must not take the time since its start for the time since the restoration.
+func TestFirstEraLearnedLateIsWaitedFor(t *testing.T) {
+	runCluster(t, 2, func(c *qt.C, h *cluster) {
+		h.setDown(1, true)
+		h.store.restore(h.store.copy())
+		older := h.store.copy()
+		c.Assert(h.observeLeaders(c, 10*time.Second), qt.DeepEquals, []int{0})
+		h.setDown(0, true)
+		h.setDown(1, false)
+		h.store.restore(older)
+		c.Assert(h.observeLeaders(c, 10*time.Second), qt.DeepEquals, []int{0, 1})
+	})
+}
+
+// The restored store has the key of a dead leader. The leader that had followed it must
+// stop, and no host acts before the restored lease has run out and the wait has passed.
+func TestRestoredKeyOfADeadLeaderRunsOut(t *testing.T) {
+	runCluster(t, 2, func(c *qt.C, h *cluster) {
+		h.waitForHolder(c)
+		older := h.store.copy()
+		h.setDown(0, true)
+		c.Assert(h.observeLeaders(c, 8*time.Second), qt.DeepEquals, []int{0, 1})
+		older.expiries[older.lease] = time.Now().Add(ttl)
+		h.store.restore(older)
+		restored := time.Now()
+		time.Sleep(ttl/4 + 10*time.Millisecond)
+		c.Assert(h.leaders(), qt.HasLen, 0)
+		h.waitForHolder(c)
+		c.Assert(time.Since(restored) >= ttl, qt.IsTrue)
+		c.Assert(h.observeLeaders(c, 8*time.Second), qt.DeepEquals, []int{1})
+	})
+}
+
+// The store is restored between two calls of the host that takes the key. The key must not
+// stay under the lease of another host that has the lost number, and the host must wait.
+func TestRestorationWhileTheKeyIsTaken(t *testing.T) {
+	for _, at := range []string{"get", "grant", "commit"} {
+		for _, lost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("after %s/answer lost=%v", at, lost), func(t *testing.T) {
+				runCluster(t, 2, func(c *qt.C, h *cluster) {
+					c.Assert(h.observeLeaders(c, 10*time.Second), qt.DeepEquals, []int{0})
+					older := h.store.copy()
+					older.revision, older.expiries = 0, make(map[uint64]time.Time)
+					var restored time.Time
+					h.setDown(0, true)
+					h.store.mu.Lock()
+					h.store.loseAnswers = lost
+					h.store.mu.Unlock()
+					h.clients[1].mu.Lock()
+					h.clients[1].answered = func(call string) {
+						if call != at || !restored.IsZero() || h.store.revision != 0 && at != "commit" || string(h.store.data) == "a" {
+							return
+						}
+						restored = time.Now()
+						time.AfterFunc(0, func() {
+							h.store.restore(older)
+							h.store.mu.Lock()
+							defer h.store.mu.Unlock()
+							// Other hosts get the lost numbers, for a longer time.
+							h.store.grant(30 * time.Second)
+							h.store.grant(30 * time.Second)
+						})
+					}
+					h.clients[1].travel = func() { time.Sleep(time.Millisecond) }
+					h.clients[1].mu.Unlock()
+					c.Assert(h.observeLeaders(c, 15*time.Second), qt.DeepEquals, []int{0, 1})
+					h.store.mu.Lock()
+					happened := !restored.IsZero()
+					h.store.mu.Unlock()
+					c.Assert(happened, qt.IsTrue)
+					h.setDown(1, true)
+					h.setDown(0, false)
+					c.Assert(h.observeLeaders(c, 10*time.Second), qt.DeepEquals, []int{1, 0})
+				})
+			})
+		}
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -251,8 +251,10 @@
 		time.Since(g.started) > startupDelay
 }
 
-// onMirrorChange makes the control goroutine read the mirror.
+// onMirrorChange makes the control goroutine read the mirror, and tells the elector the
+// store's era, which the first copy brings.
 func (g *Gateway) onMirrorChange(string) {
+	g.elector.ObserveEra(g.storeEra())
 	select {
 	case g.mirrorChanged <- struct{}{}:
 	default:
@@ -269,10 +271,12 @@
 	g.onMirrorChange(prefix)
 }
 
-// onStoreRestored makes the host write again what it had written to the store.
+// onStoreRestored makes the host write again what it had written to the store, and the
+// leader take its key again.
 func (g *Gateway) onStoreRestored(prefix string) {
 	asOf := g.mirror.AsOf(prefix)
 	g.log.Warn("store_restored", "prefix", prefix, "as_of", asOf)
+	g.elector.ObserveEra(asOf.Era())
 	select {
 	case g.restored <- struct{}{}:
 	default:
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -155,8 +155,15 @@
 			defer s.mu.Unlock()
 			return keyvalue.LeaseID{Number: 1, Era: s.revision.Era()}, nil
 		},
-		KeepAlive: func(context.Context, keyvalue.LeaseID) error { return nil },
-		Revoke:    func(context.Context, keyvalue.LeaseID) error { return nil },
+		KeepAlive: func(_ context.Context, lease keyvalue.LeaseID) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if lease.Era != s.revision.Era() {
+				return keyvalue.ErrRestored
+			}
+			return nil
+		},
+		Revoke: func(context.Context, keyvalue.LeaseID) error { return nil },
 	}
 }
 
