process/duty: a host that waits to act checks that it still has the key

Cause: the old leader's write to raise its fence meets the restoration on its way. The store compares its condition by number alone, so it replaces the key of the host that took it since, if that has the same number in the new era. The latter host renewed its lease and did not look at the key again.

Ruled out: a condition that tells the eras apart; the store has none.

Change: while a host waits to act it reads the key after each renewal and gives up the term if the key is not as it wrote it. That is four reads a takeover at most. A write that arrives later than the wait, a lease and more after the restoration, is not noticed.

TestHostWhoseKeyWasReplacedDoesNotBeginToAct fails before.

--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -287,12 +287,23 @@
 		e.Log.Info("duty_not_renewed", "fence", t.revision, "left", time.Until(t.expiry), "error", err)
 		return t
 	}
+	if sent.Before(t.start) && !e.holdsKey(renewCtx, t) {
+		return nil
+	}
 	next := *t
 	next.expiry = sent.Add(e.ttl - expiryMargin)
 	e.term.Store(&next)
 	return &next
 }
 
+// holdsKey reports whether the key is as t wrote it. Another host's write that was on its
+// way when the store was restored may have replaced it, if its condition held by number
+// alone.
+func (e *Elector) holdsKey(ctx context.Context, t *term) bool {
+	value, err := e.store.Get(ctx, e.key)
+	return err == nil && value.Revision == t.revision || err != nil && !errors.Is(err, keyvalue.ErrAbsent)
+}
+
 // rewriteKey writes the key again for a higher fence. No call may be made until that is
 // done.
 func (e *Elector) rewriteKey(ctx context.Context, t *term) *term {
--- a/internal/process/duty/duty_test.go
+++ b/internal/process/duty/duty_test.go
@@ -510,6 +510,22 @@
 	})
 }
 
+// A write that was sent before a restoration replaces the key of a host that waits to act,
+// as its condition holds by number alone. That host acted beside the key's new holder.
+func TestHostWhoseKeyWasReplacedDoesNotBeginToAct(t *testing.T) {
+	runCluster(t, 1, func(c *qt.C, h *cluster) {
+		time.Sleep(ttl / 3)
+		h.store.mu.Lock()
+		_, err := h.store.commit(keyvalue.Transaction{
+			Conditions: []keyvalue.Condition{{Key: "duty", Revision: keyvalue.NewRevision(0, h.store.revision)}},
+			Writes:     []keyvalue.Entry{{Key: "duty", Data: []byte("other"), Lease: keyvalue.LeaseID{Number: h.store.grant(time.Minute)}}},
+		})
+		h.store.mu.Unlock()
+		c.Assert(err, qt.IsNil)
+		c.Assert(h.observeLeaders(c, 4*ttl), qt.HasLen, 0)
+	})
+}
+
 // The store is restored between two calls of the host that takes the key. The key must not
 // stay under the lease of another host that has the lost number, and the host must wait.
 func TestRestorationWhileTheKeyIsTaken(t *testing.T) {
