--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -36,21 +36,26 @@
 	revision keyvalue.Revision
 	values   map[string]keyvalue.Value
 	down     bool
-	// getErr is the error of reading one key: nobody can become the leader unless it is
-	// keyvalue.ErrAbsent.
+	// own holds the keys that the system itself has written. getErr is the error of
+	// reading one of them: nobody can become the leader unless it is nil.
+	own    map[string]keyvalue.Value
 	getErr error
 	// written counts the writes of each of the system's own keys in each era.
 	written map[string]map[keyvalue.Era]int
 }
 
-// commit records a transaction of the system itself, whose keys nothing reads.
+// commit executes a transaction of the system itself.
 func (s *fakeStore) commit(_ context.Context, t keyvalue.Transaction) (keyvalue.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.written == nil {
-		s.written = make(map[string]map[keyvalue.Era]int)
+	for _, c := range t.Conditions {
+		if s.own[c.Key].Revision != c.Revision {
+			return 0, keyvalue.ErrConflict
+		}
 	}
+	s.revision++
 	for _, w := range t.Writes {
+		s.own[w.Key] = keyvalue.Value{Key: w.Key, Data: w.Data, Revision: s.revision}
 		if s.written[w.Key] == nil {
 			s.written[w.Key] = make(map[keyvalue.Era]int)
 		}
@@ -59,6 +64,19 @@
 	return s.revision, nil
 }
 
+func (s *fakeStore) get(_ context.Context, key string) (keyvalue.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, found := s.own[key]
+	switch {
+	case s.getErr != nil:
+		return keyvalue.Value{}, s.getErr
+	case !found:
+		return keyvalue.Value{}, keyvalue.ErrAbsent
+	}
+	return value, nil
+}
+
 // waitForWrite waits until a key whose name begins so was written in an era.
 func (s *fakeStore) waitForWrite(c *qt.C, prefix string, era keyvalue.Era) {
 	c.Helper()
@@ -77,7 +95,10 @@
 }
 
 func newStore() *fakeStore {
-	return &fakeStore{revision: 1, values: make(map[string]keyvalue.Value), getErr: keyvalue.ErrUnavailable}
+	return &fakeStore{
+		revision: 1, values: make(map[string]keyvalue.Value), getErr: keyvalue.ErrUnavailable,
+		own: make(map[string]keyvalue.Value), written: make(map[string]map[keyvalue.Era]int),
+	}
 }
 
 func (s *fakeStore) set(key, data string) {
@@ -102,7 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision = keyvalue.NewRevision(s.revision.Era()+1, 1)
-	s.values = make(map[string]keyvalue.Value)
+	s.values, s.own = make(map[string]keyvalue.Value), make(map[string]keyvalue.Value)
 	for key, data := range older {
 		s.values[key] = keyvalue.Value{Key: key, Data: []byte(data), Revision: s.revision}
 	}
@@ -150,14 +171,21 @@
 func (s *fakeStore) client() keyvalue.Store {
 	return keyvalue.Store{
 		Range: s.list, Changes: s.watch, Commit: s.commit,
-		Get: func(context.Context, string) (keyvalue.Value, error) { return keyvalue.Value{}, s.getErr },
+		Get: s.get,
 		Grant: func(context.Context, time.Duration) (keyvalue.LeaseID, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			return keyvalue.LeaseID{Number: 1, Era: s.revision.Era()}, nil
 		},
-		KeepAlive: func(context.Context, keyvalue.LeaseID) error { return nil },
-		Revoke:    func(context.Context, keyvalue.LeaseID) error { return nil },
+		KeepAlive: func(_ context.Context, lease keyvalue.LeaseID) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if lease.Era != s.revision.Era() {
+				return keyvalue.ErrRestored
+			}
+			return nil
+		},
+		Revoke: func(context.Context, keyvalue.LeaseID) error { return nil },
 	}
 }
 
@@ -423,7 +451,8 @@
 	for version := 1; version <= 30; version++ {
 		s.set("configuration", strconv.Itoa(version))
 	}
-	cutOff := &fakeStore{revision: s.revision, values: maps.Clone(s.values), getErr: keyvalue.ErrUnavailable}
+	cutOff := newStore()
+	cutOff.revision, cutOff.values = s.revision, maps.Clone(s.values)
 	connected, address := startGateway(c, s.client())
 	unanswered, _ := startGateway(c, cutOff.client(), address)
 	reaches := func(g *gateway.Gateway, version identity.Version) bool {
@@ -451,7 +480,7 @@
 func TestOwnKeysAreWrittenAgainAfterARestoration(t *testing.T) {
 	c := qt.New(t)
 	s := newStore()
-	s.getErr = keyvalue.ErrAbsent
+	s.getErr = nil
 	s.set("configuration", "3")
 	s.set("dandelionlift/quarantine", fmt.Sprintf(`[{"s":"s","p":[666],"t":%d}]`, time.Now().Add(-time.Second).UnixMilli()))
 	startGateway(c, s.client())
@@ -545,3 +574,18 @@
 		}
 	}
 }
+
+// A leader that waited for its next renewal to learn of the restoration made calls for
+// which the restored store had no key.
+func TestLeaderTakesTheKeyAgainOnceItsCopyIsRestored(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	s.getErr = nil
+	s.set("configuration", "3")
+	client := s.client()
+	client.KeepAlive = func(context.Context, keyvalue.LeaseID) error { return nil }
+	startGateway(c, client)
+	s.waitForWrite(c, "dandelionlift/duty", 0)
+	s.restore(map[string]string{"configuration": "2"})
+	s.waitForWrite(c, "dandelionlift/duty", 1)
+}
