--- a/internal/connection/keyvalue/era.go
+++ b/internal/connection/keyvalue/era.go
@@ -16,6 +16,9 @@
 
 const numberMask = 1<<numberBits - 1
 
+// EraBits is the size of an Era within a Revision.
+const EraBits = 64 - numberBits
+
 // NewRevision returns the revision of the write that a store numbers number in an era.
 // The number zero means absent in all eras.
 func NewRevision(era Era, number uint64) Revision {
--- a/internal/connection/keyvalue/range.go
+++ b/internal/connection/keyvalue/range.go
@@ -14,9 +14,10 @@
 	ErrCompacted = errors.New("keyvalue: history compacted")
 	// ErrNoLease says that the lease has ended.
 	ErrNoLease = errors.New("keyvalue: no such lease")
-	// ErrRestored says that the store was restored from an older copy after it gave
-	// out a lease or revision that the call names, and that the call had no effect.
-	// It is an ErrNoLease.
+	// ErrRestored says that the store was restored from an older copy after it gave out
+	// a lease or revision that the call names. A transaction had no effect; a renewal or
+	// the end of a lease that met the restoration on its way may have had one on the
+	// lease that has the number now. It is an ErrNoLease.
 	ErrRestored = fmt.Errorf("%w: store restored from an older copy", ErrNoLease)
 )
 
--- a/internal/process/gateway/register.go
+++ b/internal/process/gateway/register.go
@@ -39,8 +39,13 @@
 
 // runRegistration registers this host in the store and reads the addresses of others.
 func (g *Gateway) runRegistration(ctx context.Context) error {
+	othersKnown := false
 	for ctx.Err() == nil {
 		lease, err := g.register(ctx)
+		if err == nil && !othersKnown {
+			err = g.readOthers(ctx)
+			othersKnown = err == nil
+		}
 		if err != nil {
 			g.log.Info("host_not_registered", "error", err)
 			pause.For(ctx, registrationRetry)
@@ -82,15 +87,17 @@
 	_, err = g.platform.Store.Commit(ctx, keyvalue.Transaction{Writes: []keyvalue.Entry{
 		{Key: hostsPrefix + g.self.Address.String(), Data: []byte(g.self.Zone), Lease: lease},
 	}})
-	if err != nil {
-		return lease, err
-	}
+	return lease, err
+}
+
+// readOthers reads what the other hosts have written, once: later on their reports tell.
+func (g *Gateway) readOthers(ctx context.Context) error {
 	if err := g.readQuarantine(ctx); err != nil {
-		return lease, err
+		return err
 	}
 	listing, err := g.platform.Store.Range(ctx, hostsPrefix)
 	if err != nil {
-		return lease, err
+		return err
 	}
 	for _, v := range listing.Values {
 		address, err := netip.ParseAddrPort(strings.TrimPrefix(v.Key, hostsPrefix))
@@ -100,7 +107,7 @@
 		}
 		g.neighbours.AddHosts(neighbour.KnownHost{Address: address, Zone: identity.Zone(v.Data)})
 	}
-	return lease, nil
+	return nil
 }
 
 const (
