forward/retries: retry nothing but a stream once an answer has begun

Callers of calls that may be repeated got a complete 200 made of two answers: an answer of more than 64 KiB broke off, and that of the next endpoint followed in the same body, up to the first answer's length.

Cause: whether a call may be retried did not depend on what had been passed on. Ruled out: calls that may not be repeated, and a 5xx from the next endpoint; both close the connection.

Once a part of an answer has been passed on, only a stream is retried, and only while the last event passed on has a number: a stream that breaks off behind one without a number was resumed too, though it can't be told what follows it.

TestStreamIsNotResumedAfterAn- UnnumberedEvent failed before (resumed, complete).

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -262,13 +262,15 @@
 	if e.ID >= 0 {
 		k.lastEvent = e.ID
 	}
+	// After an event without a number, no endpoint can be told where to go on.
+	k.resumable = e.ID >= 0 || e.Comment && k.resumable
 	return http.NewResponseController(k.w).Flush()
 }
 
 func (k *forwarding) writeHead(answer *endpoint.Answer) {
 	copyHeader(k.w, k.f.Protocol.CallerHeader(answer.Header))
 	k.w.WriteHeader(answer.Status)
-	k.started = true
+	k.started, k.resumable = true, true
 	k.f.meter.Histogram("first_event_seconds").UpdateDuration(k.Arrived)
 }
 
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -8,7 +8,7 @@
 // reached an endpoint before; the charge is returned if the retry does not reach
 // one. So that a call can be retried, a short answer is buffered completely before
 // it is passed on, a longer one up to maxBufferedBody, and a stream until its first
-// event.
+// event. Once a part of an answer has been passed on, only a stream is retried.
 //
 // # Streams
 //
@@ -121,7 +121,9 @@
 	// started is set once status and header of an answer have been sent to the
 	// caller.
 	started bool
-	// lastEvent is the last event that was passed on.
+	// resumable is set while what has been sent to the caller is a stream that can go on
+	// after lastEvent, the last event that was passed on.
+	resumable bool
 	lastEvent int64
 	// answerDelimited is set if the answer of the current attempt states its own end.
 	answerDelimited bool
@@ -284,7 +286,7 @@
 // canRetry reports whether a failed call may be sent again, and charges the retry
 // budget if so.
 func (k *forwarding) canRetry(ctx context.Context, failure *verdict.Error) bool {
-	if ctx.Err() != nil || k.sends >= maxSends || time.Until(k.Deadline) < minTimeLeft {
+	if ctx.Err() != nil || k.sends >= maxSends || time.Until(k.Deadline) < minTimeLeft || k.started && !k.resumable {
 		return false
 	}
 	if failure.Verdict != verdict.NotRun && (!k.Route.Retryable() || k.runs >= k.Route.Attempts) {
