endpoint/resets: take no reset for the end of an answer

Callers could get a complete 200 with a short body: an endpoint reset an answer without a length while the request was still being written.

Cause: the kernel reports a reset once. If the writing side was told, the reading side saw an ordinary end, which is how such an answer ends. Ruled out: resets after the request has been written, which the reading side is told of, and answers with a length or chunks, which an end cuts visibly.

At the end of an answer without a length the result of writing the request decides: if it failed, the answer has been broken off. A request that is still being written is awaited, until the call's deadline closes the connection.

TestResetWhileWritingIsNoEndOfAnswer failed before: 112 and 160 of 200 such answers looked complete. None does in four runs with -race, and an answer that ends in order before the request is read is complete as before (TestEarlyAnswerWithoutLengthIsComplete).

--- a/internal/connection/endpoint/body.go
+++ b/internal/connection/endpoint/body.go
@@ -1,6 +1,8 @@
 package endpoint
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -27,20 +29,40 @@
 	response    *http.Response
 	stop        func() bool
 	writeResult <-chan error
-	atEOF       bool
-	closed      bool
+	// delimited is false if the body ends with its connection.
+	delimited bool
+	// endError is what Read returns once the body has ended.
+	endError error
+	closed   bool
 }
 
 // Read returns io.EOF only at the end of the body according to its framing. A body
-// without framing ends when the connection is closed.
+// without framing ends when the connection is closed in order.
 func (b *body) Read(data []byte) (int, error) {
+	if b.endError != nil {
+		return 0, b.endError
+	}
 	n, err := b.response.Body.Read(data)
 	if err == io.EOF {
-		b.atEOF = true
+		b.endError = b.end()
+		err = b.endError
 	}
 	return n, err
 }
 
+// end returns io.EOF if the body that has ended is complete. The kernel reports a reset
+// once: if it told the writing side, the reading side only sees an end.
+func (b *body) end() error {
+	if b.delimited {
+		return io.EOF
+	}
+	// The end of the call's context closes the connection, and so ends the writing.
+	if err := <-b.writeResult; err != nil {
+		return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
+	}
+	return io.EOF
+}
+
 // Close returns the connection to the pool, or closes it if it can't be reused.
 func (b *body) Close() error {
 	if b.closed {
@@ -59,7 +81,7 @@
 // reusable reports whether exactly one request was written and one answer read, which
 // named the request.
 func (b *body) reusable() bool {
-	if !b.atEOF || b.response.Close || !b.conn.named || b.conn.mismatched || b.conn.reader.Buffered() > 0 {
+	if !errors.Is(b.endError, io.EOF) || b.response.Close || !b.conn.named || b.conn.mismatched || b.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -191,10 +191,11 @@
 		c.Close()
 		return nil, sendError(ctx, c, errors.Join(err, writeOutcome(writeDone)))
 	}
-	body := &body{pool: p, conn: c, address: address, response: response, stop: stop, writeResult: writeDone}
+	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	body := &body{pool: p, conn: c, address: address, response: response, stop: stop, writeResult: writeDone, delimited: delimited}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: body, OpenedConnection: opened,
-		Delimited: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+		Delimited: delimited,
 	}, nil
 }
 
