connection/server: answer every request that is read while a host stops

Cause: net/http closes the connection of a request that it has read after Shutdown was called, without an answer. A host whose processor share is used up accepts connections and reads from them when it runs again, beside the timer of the shutdown.

Ruled out: the listen queue (the connections had been accepted), endpoints (the requests were not sent on).

Change: a server of our own around http.Server. On a stop it closes the listener, and waits until all connections have been answered. It wakes the readers of idle connections; a reader that is woken reads what there is, and closes the connection only if that is nothing. What is left at the end of the grace is cut as before.

--- /dev/null
+++ b/internal/connection/server/server.go
@@ -0,0 +1,242 @@
+// Package server serves HTTP, and stops without leaving a request unanswered.
+//
+// The server of net/http closes the connection of a request that it has read after
+// Shutdown was called, without an answer. The caller may have sent that request long
+// before: on a busy host it waits until the host gets to read it.
+//
+// Here the reader of a connection closes it, once it has found nothing to read. A
+// request that is not read before is the caller's to send again.
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// pollInterval is how often a stopping server looks for connections to close.
+	pollInterval = 20 * time.Millisecond
+	// freshTimeout is how long a stopping server waits for the first request on a
+	// connection since it was accepted. Callers send it at once.
+	freshTimeout = 5 * time.Second
+)
+
+// Server is an HTTP server with one listener. Create one with New.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	served   chan struct{}
+	stopping atomic.Bool
+
+	mu          sync.Mutex
+	connections map[*connection]struct{}
+}
+
+// New returns a Server that serves with h on listener. It sets h.ConnState.
+func New(h *http.Server, listener *net.TCPListener) *Server {
+	s := &Server{http: h, served: make(chan struct{}), connections: make(map[*connection]struct{})}
+	s.listener = trackingListener{listener, s}
+	h.ConnState = s.onState
+	return s
+}
+
+// Serve serves until Stop is called.
+func (s *Server) Serve() error {
+	defer close(s.served)
+	err := s.http.Serve(s.listener)
+	if s.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop closes the listener and all idle connections, and returns when the other
+// connections have been answered. If ctx ends before, it closes them and returns an
+// error.
+func (s *Server) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	err := s.listener.Close()
+	<-s.served
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for s.wakeUnused(time.Now()) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			s.http.Close()
+			return ctx.Err()
+		}
+	}
+	return err
+}
+
+// wakeUnused wakes the readers of connections from which nothing of a request has been
+// read, so that they close them, and returns the number of open connections.
+func (s *Server) wakeUnused(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		c.wakeIfUnused(now)
+	}
+	return len(s.connections)
+}
+
+// onState follows the connections. It is called by net/http.
+func (s *Server) onState(tracked net.Conn, state http.ConnState) {
+	c, ok := tracked.(*connection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.connections[c] = struct{}{}
+	case http.StateActive:
+		// The request may have been read together with the one before it.
+		c.begin()
+	case http.StateIdle:
+		c.finish()
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.connections, c)
+	}
+}
+
+// trackingListener accepts connections whose phase is known.
+type trackingListener struct {
+	*net.TCPListener
+	server *Server
+}
+
+// Accept returns a *connection.
+func (l trackingListener) Accept() (net.Conn, error) {
+	accepted, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &connection{TCPConn: accepted, server: l.server, accepted: time.Now()}, nil
+}
+
+// phase is the phase of a connection.
+type phase int
+
+const (
+	// fresh means that nothing has been read yet.
+	fresh phase = iota
+	// busy means that at least a part of a request was read that has not been answered.
+	busy
+	// idle means that all requests that were read have been answered.
+	idle
+)
+
+// connection is a caller's connection with its phase.
+type connection struct {
+	*net.TCPConn
+	server   *Server
+	accepted time.Time
+
+	// mu makes a change of the phase and the deadline that belongs to it one step.
+	mu    sync.Mutex
+	phase phase
+}
+
+// wakeTime is a deadline that has passed.
+var wakeTime = time.Unix(1, 0)
+
+// wakeIfUnused makes Read return unless the connection is busy, or fresh and may still
+// bring its first request.
+func (c *connection) wakeIfUnused(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == idle || c.phase == fresh && now.Sub(c.accepted) > freshTimeout {
+		// An error means that the connection is closed.
+		_ = c.TCPConn.SetReadDeadline(wakeTime)
+	}
+}
+
+// SetReadDeadline sets the deadline, or wakes the reader if the connection is idle and
+// the server is stopping.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == idle && c.server.stopping.Load() {
+		t = wakeTime
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// begin makes the connection busy.
+func (c *connection) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != busy && c.server.stopping.Load() {
+		// The reader may have been woken after it had read this request.
+		_ = c.TCPConn.SetReadDeadline(time.Time{})
+	}
+	c.phase = busy
+}
+
+// finish makes the connection idle.
+func (c *connection) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = idle
+}
+
+// unused reports whether the server is stopping and has read nothing of a request from
+// the connection.
+func (c *connection) unused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase != busy && c.server.stopping.Load()
+}
+
+// Read makes the connection busy. If it is woken, it returns what can be read without
+// waiting, since a deadline that has passed hides it, or an error if that is nothing;
+// net/http then closes the connection.
+func (c *connection) Read(data []byte) (int, error) {
+	n, err := c.TCPConn.Read(data)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.unused() {
+		n, err = c.readAvailable(data, err)
+	}
+	if n > 0 {
+		c.begin()
+	}
+	return n, err
+}
+
+// readAvailable reads without waiting, and returns nothing if there is nothing to read.
+func (c *connection) readAvailable(data []byte, nothing error) (int, error) {
+	if err := c.TCPConn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	n, readErr := 0, error(nil)
+	err = raw.Read(func(fd uintptr) bool {
+		n, readErr = syscall.Read(int(fd), data)
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr != nil:
+		return 0, nothing
+	case n == 0:
+		return 0, io.EOF
+	default:
+		return n, nil
+	}
+}
