process/forward: cut no stream for silence that can't be resumed

Cause: a resumable stream was given up after 1.5 s without an event, or two latency targets without a first one, also in its last attempt and without retry budget. There nothing can follow: the answer has begun, so the connection was closed. All six had been resumed after their zone was taken back, at one endpoint that got the streams of many.

Ruled out: endpoints that break off (their failures read "unexpected EOF"), deadlines (the six had used 4.8 to 10.4 s of 15 s).

Change: the time limits for silence of a stream that has begun hold only if it can be resumed: runs and sends are left, and the retry budget has one. Else it goes on until its deadline. A stream that has not begun is given up as before, since its caller then gets an answer.

The three cases of the new tests fail without the change.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -30,10 +30,10 @@
 func (k *forwarding) attempt(ctx context.Context, choice balance.Choice) *verdict.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	k.sends++
 	progressTimer := time.AfterFunc(k.progressTimeout(), func() { cancel(errNoProgress) })
 	defer progressTimer.Stop()
 	outstanding := k.f.balancer.Start(time.Now(), choice, k.call)
-	k.sends++
 	result, failure := k.exchange(ctx, choice, outstanding, progressTimer)
 	k.settleBudget(result)
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errNoProgress) {
@@ -50,6 +50,8 @@
 	switch {
 	case !k.Route.Retryable() || k.runs+1 >= k.Route.Attempts && !k.isStream():
 		return left
+	case k.started && !k.canResumeAfter(k.runs+1):
+		return left
 	case k.isStream():
 		return max(firstEventTimeout, 2*k.Route.LatencyTarget)
 	default:
@@ -57,6 +59,13 @@
 	}
 }
 
+// canResumeAfter reports whether a stream that falls silent in the current attempt, the
+// one with this number of runs, can be resumed at another endpoint. If it can't, giving
+// the silent one up would only cut the answer, which may go on.
+func (k *forwarding) canResumeAfter(runs int) bool {
+	return k.Route.Retryable() && runs < k.Route.Attempts && k.sends < maxSends && k.f.budget.Available(time.Now(), k.Service.ID)
+}
+
 // exchange sends the call and passes its answer on.
 func (k *forwarding) exchange(ctx context.Context, choice balance.Choice, outstanding *balance.OutstandingCall, progressTimer *time.Timer) (balance.Result, *verdict.Error) {
 	request := endpoint.Request{
@@ -220,13 +229,13 @@
 }
 
 // recordProgress records that an event arrived. It restarts the progress timer, or
-// stops it if the call can't be retried.
+// stops it if the stream can't be resumed.
 func (k *forwarding) recordProgress(outstanding *balance.OutstandingCall, progressTimer *time.Timer) {
 	k.countExecuted()
 	if ratio := outstanding.RecordEvent(time.Now()); ratio > 0 {
 		k.f.meter.Histogram("first_event_expected_ratio").Update(ratio)
 	}
-	if k.Route.Retryable() {
+	if k.canResumeAfter(k.runs) {
 		progressTimer.Reset(eventTimeout)
 		return
 	}
