process/forward: do not continue a long answer with that of another endpoint

Callers could get the beginning of one endpoint's answer and the end of another's as one complete answer.

Cause: an answer of more than 64 KiB is passed on while it is read. If it broke off, a call that may be repeated was sent again, and the second answer was written behind the first: with the length that the first had named, 90,000 bytes of one and 110,000 of the other made up a whole answer of 200,000.

Streams are resumed as before.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -187,7 +187,7 @@
 	if answer.Length >= 0 {
 		k.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
-	k.started = true
+	k.started, k.partial = true, true
 	k.w.WriteHeader(answer.Status)
 	rest := io.MultiReader(bytes.NewReader(first), answer.Body)
 	if _, err := io.CopyBuffer(k.w, rest, make([]byte, copyBufferSize)); err != nil {
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -115,6 +115,8 @@
 	// started is set once status and header of an answer have been sent to the
 	// caller.
 	started bool
+	// partial is set once a part of an answer that can't be resumed has been passed on.
+	partial bool
 	// lastEvent is the last event that was passed on.
 	lastEvent int64
 	// answerDelimited is set if the answer of the current attempt states its own end.
@@ -278,7 +280,7 @@
 // canRetry reports whether a failed call may be sent again, and charges the retry
 // budget if so.
 func (k *forwarding) canRetry(ctx context.Context, failure *verdict.Error) bool {
-	if ctx.Err() != nil || k.sends >= maxSends || time.Until(k.Deadline) < minTimeLeft {
+	if ctx.Err() != nil || k.partial || k.sends >= maxSends || time.Until(k.Deadline) < minTimeLeft {
 		return false
 	}
 	if failure.Verdict != verdict.NotRun && (!k.Route.Retryable() || k.runs >= k.Route.Attempts) {
