process/duty: a late write of the key is not taken for a later one

No restoration is needed.

Cause: a host whose write of the key gets no answer reads the key, and took its own data for the outcome of that write. It may be that of its write before, which also got no answer and is under an earlier lease. The host then renewed the other lease, and still acted when the key was gone and another host had taken it.

Change: the data names the lease, and a write counts as done only if the key holds exactly its data.

TestLateWriteIsNotTakenForALaterOne fails before. The random histories with restorations now execute one of six writes of the key up to 4 s late.

--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -31,6 +31,7 @@
 package duty
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -77,7 +78,7 @@
 
 	store keyvalue.Store
 	key   string
-	owner []byte
+	owner identity.Incarnation
 	ttl   time.Duration
 	// earliestStart is when this host may act as the leader at the earliest.
 	earliestStart time.Time
@@ -108,7 +109,7 @@
 func New(store keyvalue.Store, key string, inc identity.Incarnation, ttl time.Duration) *Elector {
 	e := &Elector{
 		HasOtherLeader: func() bool { return false }, Rank: func() int { return 0 }, Log: slog.Default(),
-		store: store, key: key, owner: []byte(inc), ttl: ttl,
+		store: store, key: key, owner: inc, ttl: ttl,
 		earliestStart: time.Now().Add(ttl + CallTimeout), raiseFence: make(chan struct{}, 1), eraRose: make(chan struct{}, 1),
 	}
 	e.latestEra.Store(new(seenEra))
@@ -234,18 +235,27 @@
 func (e *Elector) writeKey(ctx context.Context, lease keyvalue.LeaseID, current keyvalue.Revision) (keyvalue.Revision, error) {
 	revision, err := e.store.Commit(ctx, keyvalue.Transaction{
 		Conditions: []keyvalue.Condition{{Key: e.key, Revision: current}},
-		Writes:     []keyvalue.Entry{{Key: e.key, Data: e.owner, Lease: lease}},
+		Writes:     []keyvalue.Entry{{Key: e.key, Data: e.data(lease), Lease: lease}},
 	})
 	if !errors.Is(err, keyvalue.ErrAmbiguous) {
 		return revision, err
 	}
 	value, getErr := e.store.Get(ctx, e.key)
-	if getErr == nil && string(value.Data) == string(e.owner) && value.Revision > current {
+	if getErr == nil && bytes.Equal(value.Data, e.data(lease)) && value.Revision > current {
 		return value.Revision, nil
 	}
 	return 0, errors.Join(err, getErr)
 }
 
+// data returns what this host writes to the key. It names the lease, so that an earlier
+// write that takes effect late is not taken for one under the lease that is renewed.
+func (e *Elector) data(lease keyvalue.LeaseID) []byte {
+	return fmt.Appendf(e.ownPrefix(), "%d/%d", lease.Era, lease.Number)
+}
+
+// ownPrefix returns what the data of this host's writes begins with.
+func (e *Elector) ownPrefix() []byte { return fmt.Appendf(nil, "%s ", e.owner) }
+
 // maintain renews the lease and raises the fence on request, until the lease is lost
 // or ctx ends.
 func (e *Elector) maintain(ctx context.Context, t *term) {
@@ -364,7 +374,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read key: %w", err)
 	}
-	if string(value.Data) != string(e.owner) {
+	if !bytes.HasPrefix(value.Data, e.ownPrefix()) {
 		return nil, errOtherOwner
 	}
 	return e.take(ctx, value.Revision)
--- a/internal/process/duty/duty_test.go
+++ b/internal/process/duty/duty_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -112,15 +113,18 @@
 	travel func()
 	// answered is called with the store locked after each call that it answered.
 	answered func(call string)
+	// late returns how much later than its answer is given up a transaction takes effect,
+	// or zero if it is answered.
+	late func() time.Duration
 
-	// mu also protects travel and answered.
+	// mu also protects travel, answered and late.
 	mu  sync.Mutex
 	era keyvalue.Era
 }
 
 // client returns a host's client of the store, which fails while down returns true.
 func (s *fakeStore) client(down func() bool) *storeClient {
-	return &storeClient{store: s, down: down, travel: func() {}, answered: func(string) {}}
+	return &storeClient{store: s, down: down, travel: func() {}, answered: func(string) {}, late: func() time.Duration { return 0 }}
 }
 
 // learn records the era of an answer and returns the latest known one.
@@ -131,13 +135,17 @@
 	return c.era
 }
 
+func (c *storeClient) hooks() (travel func(), answered func(string), late func() time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.travel, c.answered, c.late
+}
+
 // call executes do at the store, and returns the era in which that was. A call that
 // names a lease or revision of another era than known fails at once; one that turns out
 // to have done so returns ErrRestored in place of the errors for an unknown one.
 func (c *storeClient) call(name string, named []keyvalue.Era, do func() error) (keyvalue.Era, error) {
-	c.mu.Lock()
-	travel, answered := c.travel, c.answered
-	c.mu.Unlock()
+	travel, answered, late := c.hooks()
 	travel()
 	latest := c.learn(0)
 	isOther := func(e keyvalue.Era) bool { return e != latest }
@@ -150,6 +158,19 @@
 		c.store.mu.Unlock()
 		return latest, keyvalue.ErrUnavailable
 	}
+	if name == "commit" {
+		if delay := late(); delay > 0 {
+			c.store.mu.Unlock()
+			time.AfterFunc(delay, func() {
+				c.store.mu.Lock()
+				defer c.store.mu.Unlock()
+				c.store.expire()
+				_ = do()
+			})
+			travel()
+			return latest, keyvalue.ErrAmbiguous
+		}
+	}
 	c.store.expire()
 	err := do()
 	era := c.store.era
@@ -194,15 +215,18 @@
 			if r := t.Conditions[0].Revision; r != 0 {
 				named = append(named, r.Era())
 			}
-			var number uint64
+			number := new(uint64)
 			era, err := c.call("commit", named, func() (err error) {
-				number, err = s.commit(t)
+				*number, err = s.commit(t)
 				if err == nil && s.loseAnswers {
 					return keyvalue.ErrAmbiguous
 				}
 				return err
 			})
-			return keyvalue.NewRevision(era, number), err
+			if err != nil {
+				return 0, err
+			}
+			return keyvalue.NewRevision(era, *number), nil
 		},
 		Grant: func(_ context.Context, ttl time.Duration) (keyvalue.LeaseID, error) {
 			var number uint64
@@ -543,7 +567,7 @@
 					h.store.mu.Unlock()
 					h.clients[1].mu.Lock()
 					h.clients[1].answered = func(call string) {
-						if call != at || !restored.IsZero() || h.store.revision != 0 && at != "commit" || string(h.store.data) == "a" {
+						if call != at || !restored.IsZero() || h.store.revision != 0 && at != "commit" || strings.HasPrefix(string(h.store.data), "a ") {
 							return
 						}
 						restored = time.Now()
@@ -571,3 +595,28 @@
 		}
 	}
 }
+
+// Two writes of a host get no answer, and the first takes effect after the second was sent.
+// The host took it for the second and renewed the other lease, so that it still acted when
+// the key's lease had run out and another host had taken the key.
+func TestLateWriteIsNotTakenForALaterOne(t *testing.T) {
+	runCluster(t, 2, func(c *qt.C, h *cluster) {
+		h.setDown(0, true)
+		h.setDown(1, true)
+		time.Sleep(2 * ttl)
+		writes := 0
+		h.clients[0].mu.Lock()
+		h.clients[0].travel = func() { time.Sleep(50 * time.Millisecond) }
+		h.clients[0].late = func() time.Duration {
+			writes++
+			return map[int]time.Duration{1: time.Second, 2: time.Hour}[writes]
+		}
+		h.clients[0].mu.Unlock()
+		h.setDown(0, false)
+		time.Sleep(2 * time.Second)
+		h.setDown(1, false)
+		c.Assert(h.observeLeaders(c, 4*ttl)[0], qt.Equals, 1)
+		h.setDown(0, true)
+		c.Assert(writes >= 2, qt.IsTrue)
+	})
+}
--- a/internal/process/duty/simulation_test.go
+++ b/internal/process/duty/simulation_test.go
@@ -170,6 +170,12 @@
 	inc := identity.Incarnation(fmt.Sprint(c.index, s.rng.Uint64()))
 	if s.restores {
 		delays := rand.New(rand.NewPCG(s.rng.Uint64(), 0))
+		client.late = func() time.Duration {
+			if delays.IntN(lateWriteRarity) > 0 {
+				return 0
+			}
+			return randomTime(delays, maxLateness)
+		}
 		client.travel = func() {
 			time.Sleep(randomDelay(delays))
 			for paused.Load() {
@@ -185,6 +191,12 @@
 	s.group.Go(func() error { return e.Run(ctx) })
 }
 
+const (
+	// One of lateWriteRarity writes of the key takes effect late, after up to maxLateness.
+	lateWriteRarity = 6
+	maxLateness     = 4 * time.Second
+)
+
 // randomDelay returns the time that a request or an answer travels: some milliseconds, or
 // in one of eight cases up to a lease's renewal interval.
 func randomDelay(rng *rand.Rand) time.Duration {
