process/mirror: a restoration that one prefix shows restarts the watches of the others

Change: the first copy of an era restarts the watches of the other prefixes.

TestHangingWatchIsRestartedAfterARestoration fails without the change.

--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -286,6 +286,7 @@
 	s.asOf = max(s.asOf, c.AsOf)
 	m.mu.Unlock()
 	if restored {
+		m.restartOtherWatches(c.Prefix)
 		m.OnStoreRestored(c.Prefix)
 	}
 	if changed || first {
@@ -293,6 +294,16 @@
 	}
 }
 
+// restartOtherWatches restarts the watches of all prefixes but one. Those that were sent
+// before the store was restored may hang until they time out.
+func (m *Mirror) restartOtherWatches(prefix string) {
+	for _, other := range m.prefixes {
+		if other != prefix {
+			m.RestartWatch(other)
+		}
+	}
+}
+
 func (m *Mirror) recordFailure(prefix string, err error) {
 	m.mu.Lock()
 	s := m.states[prefix]
--- a/internal/process/mirror/mirror_test.go
+++ b/internal/process/mirror/mirror_test.go
@@ -355,3 +355,39 @@
 		c.Assert(failing, qt.IsFalse)
 	})
 }
+
+// The watch of one prefix was sent while the store was away, and hangs. Once another
+// prefix shows that the store was restored it must not wait for the watch's end.
+func TestHangingWatchIsRestartedAfterARestoration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newStore()
+		s.set("endpoints/a", "1")
+		client := s.client()
+		client.Changes = func(ctx context.Context, p string, after keyvalue.Revision, wait time.Duration) (keyvalue.Changes, error) {
+			s.mu.Lock()
+			restored := after < s.compacted
+			s.mu.Unlock()
+			if p != prefix || restored {
+				return s.watch(ctx, p, after, wait)
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait + time.Second):
+			}
+			return keyvalue.Changes{}, keyvalue.ErrUnavailable
+		}
+		m := mirror.New(client, prefix, "configuration")
+		group := new(errgroup.Group)
+		group.Go(func() error { return m.Run(ctx) })
+		time.Sleep(100 * time.Millisecond)
+		older := s.copy()
+		s.restore(older)
+		s.set("endpoints/a", "2")
+		time.Sleep(200 * time.Millisecond)
+		c.Assert(value(m, "endpoints/a"), qt.Equals, "2")
+		cancel()
+		c.Assert(group.Wait(), qt.IsNil)
+	})
+}
