process/advice: load comes back by time, not by successes

What callers lost, found by review: an endpoint that had been quiet once got no call while the host's older streams ran there, came back at the speed of long streams, and could stay at one call for good if callers left early.

Cause: the steps counted all calls that run, and needed successes.

Change: after its quiet time an endpoint gets one call, and twice as many in all with each step of 250 ms, until it refuses again or six steps have passed. Calls are counted where they are chosen, so that several at once are, too.

TestLoadComesBackInStepsAfterQuiet holds the new rule to its steps.

--- a/internal/process/advice/advice.go
+++ b/internal/process/advice/advice.go
@@ -12,8 +12,8 @@
 // An endpoint that refuses a call may name a time for which it wants none from this
 // host. Other hosts are not told: each has an answer of its own. The time is never
 // shortened, also not by a success: the answer may be to a call that was sent before,
-// and the endpoint has said what it needs. Afterwards the endpoint gets one call at a
-// time, and twice as many after each success.
+// and the endpoint has said what it needs. Afterwards the endpoint gets one call, and
+// twice as many in all with each step of time, until it refuses one again.
 //
 // # Limits
 //
@@ -35,10 +35,11 @@
 	// maxQuiet bounds the time that an endpoint may name. It is longer than one needs to
 	// start again; one that named a longer time by mistake is asked once a minute.
 	maxQuiet = time.Minute
-	// firstAllowance and fullAllowance are how many calls of this host an endpoint gets at
-	// once after it was quiet, and from how many on it gets as many as there are.
-	firstAllowance = 1
-	fullAllowance  = 32
+	// rampStep is how long after it was quiet an endpoint gets twice as many calls of this
+	// host, starting with one: about as long as it takes to refuse a call. After rampSteps
+	// it gets as many as there are.
+	rampStep  = 250 * time.Millisecond
+	rampSteps = 6
 )
 
 // Advice is what an endpoint says of itself in one answer.
@@ -66,8 +67,8 @@
 // state is the latest advice of one endpoint.
 type state struct {
 	leavingUntil, quietUntil time.Time
-	// allowance is how many calls the endpoint gets at once; zero means any number.
-	allowance int
+	// sent counts the calls sent since quietUntil, while they are limited.
+	sent int
 }
 
 // New returns a Keeper with limits.
@@ -99,63 +100,53 @@
 	}
 	if until := now.Add(min(a.Quiet, maxQuiet)); a.Quiet > 0 && until.After(s.quietUntil) {
 		change.Quiet = true
-		s.quietUntil, s.allowance = until, firstAllowance
+		s.quietUntil, s.sent = until, 0
 	}
 	return change
 }
 
-// RecordSuccess records that an endpoint has completed a call.
-func (k *Keeper) RecordSuccess(now time.Time, endpoint identity.Incarnation) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	s := k.endpoints[endpoint]
-	if s == nil || s.allowance == 0 || now.Before(s.quietUntil) {
-		return
-	}
-	if s.allowance *= 2; s.allowance >= fullAllowance {
-		s.allowance = 0
-	}
-}
-
-// Open reports whether an endpoint may get a call now, beside the calls of this host that
-// it runs.
-func (k *Keeper) Open(now time.Time, endpoint identity.Incarnation, running int) bool {
+// Open reports whether an endpoint may get a call now.
+func (k *Keeper) Open(now time.Time, endpoint identity.Incarnation) bool {
 	k.mu.Lock()
 	s := k.endpoints[endpoint]
-	closed := s != nil && (now.Before(s.leavingUntil) || s.closedFor(now, running) > 0)
+	closed := s != nil && (now.Before(s.leavingUntil) || s.closedFor(now) > 0)
 	k.mu.Unlock()
 	return !closed && k.Limits.Open(endpoint)
 }
 
-// allowanceWait is how long a call is told to wait that would exceed an allowance: about
-// the time of a short call.
-const allowanceWait = 200 * time.Millisecond
-
-// closedFor returns for how long an endpoint gets no further call.
-func (s *state) closedFor(now time.Time, running int) time.Duration {
-	switch {
-	case now.Before(s.quietUntil):
-		return s.quietUntil.Sub(now)
-	case s.allowance > 0 && running >= s.allowance:
-		return allowanceWait
-	default:
+// closedFor returns for how long an endpoint that was quiet gets no further call.
+func (s *state) closedFor(now time.Time) time.Duration {
+	since := now.Sub(s.quietUntil)
+	if since < 0 {
+		return -since
+	}
+	step := since / rampStep
+	if step >= rampSteps || s.sent < 1<<step {
 		return 0
 	}
+	return (step+1)*rampStep - since
 }
 
 // ClosedFor returns for how long an endpoint that was quiet gets no further call, or zero.
-func (k *Keeper) ClosedFor(now time.Time, endpoint identity.Incarnation, running int) time.Duration {
+func (k *Keeper) ClosedFor(now time.Time, endpoint identity.Incarnation) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.endpoints[endpoint]
 	if s == nil {
 		return 0
 	}
-	return s.closedFor(now, running)
+	return s.closedFor(now)
 }
 
 // Take records that a call is sent to an endpoint.
-func (k *Keeper) Take(endpoint identity.Incarnation) { k.Limits.Take(endpoint) }
+func (k *Keeper) Take(endpoint identity.Incarnation) {
+	k.mu.Lock()
+	if s := k.endpoints[endpoint]; s != nil && s.sent < 1<<rampSteps {
+		s.sent++
+	}
+	k.mu.Unlock()
+	k.Limits.Take(endpoint)
+}
 
 // Leaving reports whether an endpoint has said that it is leaving.
 func (k *Keeper) Leaving(now time.Time, endpoint identity.Incarnation) bool {
--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -228,7 +228,7 @@
 		if s.endpoint.Leaving || b.advice.Leaving(now, id) {
 			continue
 		}
-		if closedFor := b.advice.ClosedFor(now, id, s.own.Running); closedFor > 0 {
+		if closedFor := b.advice.ClosedFor(now, id); closedFor > 0 {
 			if quiet == 0 || closedFor < quiet {
 				quiet = closedFor
 			}
@@ -279,7 +279,7 @@
 func (b *Balancer) cheapest(now time.Time, q query, list []*endpointState) (best rankedChoice, found bool) {
 	lowestCost := 0.0
 	for _, s := range list {
-		if s.endpoint.Leaving || slices.Contains(q.Avoid, s.endpoint.Incarnation) || !b.advice.Open(now, s.endpoint.Incarnation, s.own.Running) {
+		if s.endpoint.Leaving || slices.Contains(q.Avoid, s.endpoint.Incarnation) || !b.advice.Open(now, s.endpoint.Incarnation) {
 			continue
 		}
 		choice := b.estimate(now, s, q)
