--- a/internal/connection/server/server_test.go
+++ b/internal/connection/server/server_test.go
@@ -226,6 +226,7 @@
 			response, err := http.ReadResponse(answers, nil)
 			c.Assert(err, qt.IsNil, qt.Commentf("cut at %d", cut))
 			body, err := io.ReadAll(response.Body)
+			response.Body.Close()
 			c.Assert(err, qt.IsNil)
 			c.Check(string(body), qt.Equals, "got body")
 		}
