process/forward: a test that another endpoint's advice is not held against one

Asked of the new rules: what they could hold against an endpoint that did nothing. An answer of 421 comes from another endpoint at the same address; what it says of itself must not count for the first. It doesn't, and the test fails if the check for such answers is removed.

--- a/internal/process/forward/advice_test.go
+++ b/internal/process/forward/advice_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dandelionlift/dandelionlift/internal/process/forward"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
@@ -72,3 +73,29 @@
 	}
 	c.Check(env.receivers(), qt.Equals, "ab")
 }
+
+// The address of an endpoint belongs to another one now, which says that it is leaving and
+// wants no calls. That must not be held against the first.
+func TestAdviceOfAnotherEndpointIsNotHeldAgainstTheFirst(t *testing.T) {
+	c := qt.New(t)
+	other := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Leaving", "1")
+		w.Header().Set("Quiet", "5s")
+		w.Header().Set("Limit", "0.1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}
+	env := newTestEnv(c, other, answer("b"))
+	classify := env.forwarder.Protocol.Classify
+	env.forwarder.Protocol.Classify = func(status int, h http.Header) forward.AnswerClass {
+		if status == http.StatusMisdirectedRequest {
+			return forward.Misdirected
+		}
+		return classify(status, h)
+	}
+	got, _, failure := env.serve(catalogue.NonIdempotent, false, 1)
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+	c.Assert(got.Body.String(), qt.Equals, "b")
+	c.Assert(env.receivers(), qt.Equals, "ab")
+	c.Check(env.forwarder.Advice.Leaving(time.Now(), "a"), qt.IsFalse)
+	c.Check(env.forwarder.Advice.Open(time.Now(), "a"), qt.IsTrue)
+}
