--- a/internal/connection/keyvalue/era.go
+++ b/internal/connection/keyvalue/era.go
@@ -34,7 +34,7 @@
 // Number returns the store's own number of the revision.
 func (r Revision) Number() uint64 { return uint64(r) & numberMask }
 
-// String returns the number and, after the era if there are any: "17" or "2/17".
+// String returns "2/17" for number 17 of era 2, and "17" if the store names no eras.
 func (r Revision) String() string {
 	number := strconv.FormatUint(r.Number(), 10)
 	if r.Era() == 0 {
--- a/internal/process/duty/duty_test.go
+++ b/internal/process/duty/duty_test.go
@@ -263,8 +263,8 @@
 	down     []bool
 	clients  []*storeClient
 	electors []*duty.Elector
-	// inTouch says that the hosts hear each other's reports.
-	inTouch atomic.Bool
+	// connected says that the hosts hear each other's reports.
+	connected atomic.Bool
 }
 
 func runCluster(t *testing.T, count int, scenario func(c *qt.C, h *cluster)) {
@@ -277,7 +277,7 @@
 			e := duty.New(client.keyvalue(), "duty", identity.Incarnation('a'+rune(i)), ttl)
 			e.Rank = func() int { return i }
 			e.HasOtherLeader = func() bool {
-				return h.inTouch.Load() && len(h.leaders()) > 0
+				return h.connected.Load() && len(h.leaders()) > 0
 			}
 			h.clients, h.electors = append(h.clients, client), append(h.electors, e)
 		}
@@ -458,7 +458,7 @@
 			t.Run(fmt.Sprintf("%s/within=%v", name, within), func(t *testing.T) {
 				runCluster(t, 2, func(c *qt.C, h *cluster) {
 					older := h.store.copy()
-					h.inTouch.Store(true)
+					h.connected.Store(true)
 					h.waitForHolder(c)
 					h.observeLeaders(c, ttl)
 					if within {
--- a/internal/process/duty/simulation_test.go
+++ b/internal/process/duty/simulation_test.go
@@ -88,8 +88,8 @@
 	restores      bool
 	restoreRarity int
 	copies        []contents
-	// inTouch says that the hosts hear each other's reports.
-	inTouch atomic.Bool
+	// connected says that the hosts hear each other's reports.
+	connected atomic.Bool
 }
 
 type candidate struct {
@@ -185,7 +185,7 @@
 	}
 	e := duty.New(client.keyvalue(), "duty", inc, ttl)
 	e.Rank = func() int { return c.index }
-	e.HasOtherLeader = func() bool { return s.inTouch.Load() }
+	e.HasOtherLeader = func() bool { return s.connected.Load() }
 	e.Log = slog.New(slog.DiscardHandler)
 	c.elector, c.client = e, client
 	s.group.Go(func() error { return e.Run(ctx) })
@@ -308,9 +308,9 @@
 			s.restart(ctx, c)
 		}
 	case 16:
-		s.inTouch.Store(len(s.leaders()) > 0)
+		s.connected.Store(len(s.leaders()) > 0)
 	case 17, 18, 19, 20:
-		s.inTouch.Store(false)
+		s.connected.Store(false)
 	default:
 		if !c.down && c.runs() {
 			c.elector.ObserveEra(c.client.learn(s.era()))
