process/forward: connection_lost names the fingerprint of the call

Change: a hash of organisation, method, host, target and body, equal at all hosts, in connection_lost. No logic depends on it yet.

--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -112,6 +112,8 @@
 	call balance.Call
 	// shared lists the prompt's parts that other calls may have too.
 	shared []quarantine.PartID
+	// fingerprint is what the call has in common with its repeats.
+	fingerprint quarantine.Fingerprint
 	// sends counts the attempts, delivered those that may have reached an
 	// endpoint, and runs those that may have been executed.
 	sends, delivered, runs int
@@ -162,7 +164,7 @@
 		return false, failure
 	}
 	k := &forwarding{
-		Call: c, f: f, w: w, shared: shared, overall: verdict.NotRun, lastEvent: c.LastEvent,
+		Call: c, f: f, w: w, shared: shared, fingerprint: fingerprint(c), overall: verdict.NotRun, lastEvent: c.LastEvent,
 		call: balance.Call{Service: c.Service, Parts: c.Parts, Prompt: c.Prompt, Output: c.Output},
 	}
 	failure = k.run(ctx)
@@ -202,7 +204,7 @@
 		if endpoint.Disconnected(failure) {
 			k.f.Quarantine.RecordCrash(k.quarantineAttempt(choice, time.Since(sentAt)))
 			k.f.Log.Warn("connection_lost", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
-				"parts", partIDs(k.Parts), "last_event", k.lastEvent, "sent_before", time.Since(sentAt))
+				"fingerprint", k.fingerprint, "parts", partIDs(k.Parts), "last_event", k.lastEvent, "sent_before", time.Since(sentAt))
 		}
 		if failure.Verdict != verdict.NotRun {
 			k.overall = verdict.MayHaveRun
--- a/internal/process/forward/quarantine.go
+++ b/internal/process/forward/quarantine.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
@@ -21,6 +24,23 @@
 	return shared
 }
 
+// fingerprint identifies a call by what a repeat of it has in common with it: its
+// organisation, method, host, target and body. All hosts get the same one.
+func fingerprint(c *Call) quarantine.Fingerprint {
+	h := xxh3.New()
+	organisation := identity.Organisation("")
+	if c.Organisation != nil {
+		organisation = c.Organisation.ID
+	}
+	for _, field := range []string{string(c.Service.ID), string(organisation), c.Method, c.Host, c.Target} {
+		// The length keeps fields apart. A Hasher's Write returns no error.
+		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(field))))
+		_, _ = h.WriteString(field)
+	}
+	_, _ = h.Write(c.Body)
+	return quarantine.Fingerprint(h.Sum64())
+}
+
 // checkQuarantine returns a refusal if calls with these parts are quarantined. The caller
 // is told to come back when the quarantine ends.
 func (f *Forwarder) checkQuarantine(service identity.Service, parts []quarantine.PartID) *verdict.Error {
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -35,6 +35,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -62,6 +63,12 @@
 // PartID identifies a part of a prompt.
 type PartID uint64
 
+// Fingerprint identifies a call and its repeats.
+type Fingerprint uint64
+
+// String returns the fingerprint as it is logged.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // suspect is a part of prompts of one service.
 type suspect struct {
 	service identity.Service
