process/quarantine: stop a repeated call that crashes endpoints

Cause: crashes were related to the parts of prompts only. The last part, a request's own, and calls without parts were not looked at; each repeat was a new request.

Change: a crash also lists the fingerprints of the calls that it broke off, hosts exchange them with their other evidence, and a call that was in progress at three crashes at different moments, and never answered, is refused at all hosts as not run. The leader stores these quarantines with those of parts.

TestRepeatedCallIsStopped plays seven patterns of other crashes, loads and slow reports.

--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -79,7 +79,8 @@
 	// one.
 	OnMisdirected func(identity.Incarnation)
 	Log           *slog.Logger
-	// Quarantine holds the prompt parts that crash endpoints; calls with them are refused.
+	// Quarantine holds the prompt parts and the calls that crash endpoints; calls with these
+	// parts, and repeats of these calls, are refused.
 	Quarantine *quarantine.Quarantine
 	// Advice holds what endpoints say of themselves. The balancer keeps to it.
 	Advice *advice.Keeper
@@ -154,7 +155,8 @@
 	defer cancel()
 	f.budget.RecordCall(c.Arrived, c.Service.ID)
 	shared := sharedParts(c.Parts)
-	if failure := f.checkQuarantine(c.Service.ID, shared); failure != nil {
+	call := fingerprint(c)
+	if failure := f.checkQuarantine(c.Service.ID, shared, call); failure != nil {
 		return false, failure
 	}
 	if refusal, ok := f.admit(c); !ok {
@@ -164,7 +166,7 @@
 		return false, failure
 	}
 	k := &forwarding{
-		Call: c, f: f, w: w, shared: shared, fingerprint: fingerprint(c), overall: verdict.NotRun, lastEvent: c.LastEvent,
+		Call: c, f: f, w: w, shared: shared, fingerprint: call, overall: verdict.NotRun, lastEvent: c.LastEvent,
 		call: balance.Call{Service: c.Service, Parts: c.Parts, Prompt: c.Prompt, Output: c.Output},
 	}
 	failure = k.run(ctx)
@@ -231,7 +233,7 @@
 	if ctx.Err() != nil || time.Until(k.Deadline) < minTimeLeft {
 		return balance.Choice{}, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "")
 	}
-	if failure := k.f.checkQuarantine(k.Service.ID, k.shared); failure != nil {
+	if failure := k.f.checkQuarantine(k.Service.ID, k.shared, k.fingerprint); failure != nil {
 		return balance.Choice{}, failure
 	}
 	choice, found := k.f.balancer.Choose(time.Now(), k.call)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -158,7 +158,14 @@
 	}
 	g.control = newControl()
 	g.quarantine = quarantine.New(quarantine.WithClock(g.clock.Now))
-	m.Gauge("prompt_quarantines", func() float64 { return float64(len(g.quarantine.Orders())) })
+	m.Gauge("prompt_quarantines", func() float64 {
+		parts, _ := g.quarantine.Counts()
+		return float64(parts)
+	})
+	m.Gauge("call_quarantines", func() float64 {
+		_, calls := g.quarantine.Counts()
+		return float64(calls)
+	})
 	g.usage = usage.New(g.incarnation, self.Zone, bounds.UsageWindow)
 	g.recorder = usage.NewRecorder(platform.Store, usagePrefix, g.usage.Total)
 	g.speed = speed.New()
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -23,7 +23,7 @@
 	quarantineInterval = 500 * time.Millisecond
 )
 
-// decideQuarantine quarantines prompt parts that crash endpoints.
+// decideQuarantine quarantines prompt parts and calls that crash endpoints.
 func (g *Gateway) decideQuarantine() {
 	endpoints := make(map[identity.Service]int)
 	for _, e := range *g.endpoints.Load() {
@@ -35,9 +35,17 @@
 	}
 	decision := g.quarantine.Decide(endpoints, settled)
 	for _, order := range decision.Quarantined {
+		if order.Call != 0 {
+			g.log.Warn("call_quarantined", "fingerprint", order.Call, "repeats", order.Repeats, "until", order.End())
+			continue
+		}
 		g.log.Warn("part_quarantined", "service", order.Service, "parts", hexParts(order.Parts), "repeats", order.Repeats, "until", order.End())
 	}
 	for _, order := range decision.Released {
+		if order.Call != 0 {
+			g.log.Info("call_released", "fingerprint", order.Call)
+			continue
+		}
 		g.log.Info("part_released", "service", order.Service, "parts", hexParts(order.Parts))
 	}
 }
--- a/internal/process/quarantine/decide.go
+++ b/internal/process/quarantine/decide.go
@@ -44,8 +44,9 @@
 	defer q.mu.Unlock()
 	now := q.now()
 	var d Decision
-	d.Released = q.release()
+	d.Released = append(q.release(), q.releaseCalls()...)
 	if now.Sub(q.lastNews) < answerTTL {
+		d.Quarantined = q.decideCalls(now, settled)
 		for service, count := range endpoints {
 			d.Quarantined = append(d.Quarantined, q.decide(now, service, count, settled)...)
 		}
--- a/internal/process/quarantine/evidence.go
+++ b/internal/process/quarantine/evidence.go
@@ -35,6 +35,8 @@
 	// Parts holds, for each part of the calls in progress, how long a call with it had
 	// been, in milliseconds.
 	Parts map[PartID]int64 `json:"p"`
+	// Calls lists the calls in progress.
+	Calls []Fingerprint `json:"f,omitempty"`
 	// AnsweredMillis is when the endpoint answered a call that shows that it had not
 	// crashed before; zero if it has not.
 	AnsweredMillis int64 `json:"ok,omitempty"`
@@ -45,11 +47,13 @@
 
 func (c *Crash) at() time.Time { return time.UnixMilli(c.AtMillis) }
 
-// Order is the quarantine of the calls whose prompts have all of Parts.
+// Order is the quarantine of a call and its repeats or, without a Call, of a service's
+// calls whose prompts have all of Parts.
 type Order struct {
-	Service identity.Service `json:"s"`
+	Call    Fingerprint      `json:"f,omitempty"`
+	Service identity.Service `json:"s,omitempty"`
 	// Parts is sorted.
-	Parts []PartID `json:"p"`
+	Parts []PartID `json:"p,omitempty"`
 	// AtMillis is when the quarantine began, in Unix milliseconds.
 	AtMillis int64 `json:"t"`
 	// Repeats is how often the same parts were quarantined before.
@@ -81,6 +85,8 @@
 	Crashes []Crash `json:"c,omitempty"`
 	// Answered holds when a call with a part was last answered, in Unix milliseconds.
 	Answered map[identity.Service]map[PartID]int64 `json:"a,omitempty"`
+	// AnsweredCalls holds when a call was last answered, in Unix milliseconds.
+	AnsweredCalls map[Fingerprint]int64 `json:"ac,omitempty"`
 	// Orders lists the quarantines in force.
 	Orders []Order `json:"o,omitempty"`
 }
@@ -103,9 +109,10 @@
 	}
 	slices.SortFunc(e.Crashes, func(a, b Crash) int { return cmp.Compare(b.AtMillis, a.AtMillis) })
 	e.Crashes = e.Crashes[:min(len(e.Crashes), maxReportedCrashes)]
-	counts := q.crashCounts()
+	counts, callCounts := q.crashCounts(), q.callCrashCounts()
 	for i := range e.Crashes {
 		e.Crashes[i].Parts = mostSuspected(e.Crashes[i], counts)
+		e.Crashes[i].Calls = q.suspectedCalls(&e.Crashes[i], callCounts)
 	}
 	// Of all crashes, not only of the observed ones: an answer at this host may clear
 	// what another one suspects.
@@ -116,6 +123,7 @@
 			}
 		}
 	}
+	e.AnsweredCalls = q.reportedCallAnswers(now)
 	e.Orders = q.inForce()
 	for _, order := range e.Orders {
 		for _, part := range order.Parts {
@@ -190,7 +198,9 @@
 }
 
 // Empty reports whether there is nothing to tell.
-func (e Evidence) Empty() bool { return len(e.Crashes)+len(e.Answered)+len(e.Orders) == 0 }
+func (e Evidence) Empty() bool {
+	return len(e.Crashes)+len(e.Answered)+len(e.AnsweredCalls)+len(e.Orders) == 0
+}
 
 // Merge adds the evidence that another host reported.
 func (q *Quarantine) Merge(e Evidence) {
@@ -211,7 +221,18 @@
 			}
 		}
 	}
+	for call, millis := range e.AnsweredCalls {
+		if at := time.UnixMilli(millis); at.Sub(now) < maxClockDifference {
+			q.clearCall(call, at)
+		}
+	}
 	for _, order := range e.Orders {
+		if order.Call != 0 {
+			if order.at().Sub(now) < maxClockDifference {
+				q.mergeCallOrder(order)
+			}
+			continue
+		}
 		if order = q.withoutAnswered(order); len(order.Parts) > 0 && order.at().Sub(now) < maxClockDifference {
 			mergeOrder(q.orders, order)
 		}
@@ -223,7 +244,7 @@
 func mergeCrash(crashes map[identity.Incarnation]*Crash, crash Crash) bool {
 	known := crashes[crash.Endpoint]
 	if known == nil {
-		crash.Parts = cloneParts(crash.Parts)
+		crash.Parts, crash.Calls = cloneParts(crash.Parts), slices.Clone(crash.Calls)
 		crashes[crash.Endpoint] = &crash
 		return true
 	}
@@ -233,12 +254,12 @@
 	case crash.survived():
 		return false
 	case known.survived():
-		crash.Parts = cloneParts(crash.Parts)
+		crash.Parts, crash.Calls = cloneParts(crash.Parts), slices.Clone(crash.Calls)
 		*known = crash
 		return true
 	}
 	known.AtMillis = min(known.AtMillis, crash.AtMillis)
-	changed := false
+	changed := known.mergeCalls(crash.Calls)
 	for part, inProgress := range crash.Parts {
 		if known.Parts[part] < inProgress {
 			known.Parts[part] = inProgress
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -1,4 +1,4 @@
-// Package quarantine stops calls whose prompts crash the endpoints that answer them.
+// Package quarantine stops calls that crash the endpoints that answer them.
 //
 // # Crashes
 //
@@ -24,6 +24,12 @@
 // stopped. Calls with some of them go on, and what becomes of these tells the parts
 // apart.
 //
+// # Calls
+//
+// A call that comes again and again may crash endpoints by itself, whatever its parts. Its
+// repeats share a fingerprint. A call that was in progress at maxCallCrashes crashes
+// without an answer is quarantined on its own.
+//
 // # Release
 //
 // A quarantine ends when a call with its parts, already on its way, is answered, or
@@ -35,7 +41,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -63,12 +68,6 @@
 // PartID identifies a part of a prompt.
 type PartID uint64
 
-// Fingerprint identifies a call and its repeats.
-type Fingerprint uint64
-
-// String returns the fingerprint as it is logged.
-func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
-
 // suspect is a part of prompts of one service.
 type suspect struct {
 	service identity.Service
@@ -90,6 +89,11 @@
 	// released holds the parts whose quarantine ended early, with the time of the answer
 	// that ended it. Other hosts may still report the quarantine.
 	released map[suspect]time.Time
+	// callsAnswered, callOrders and callsReleased hold the same for calls, whatever their
+	// parts.
+	callsAnswered map[Fingerprint]time.Time
+	callOrders    map[Fingerprint]Order
+	callsReleased map[Fingerprint]time.Time
 	// lastNews is when a crash, or more about one, became known.
 	lastNews time.Time
 }
@@ -108,6 +112,7 @@
 	q := &Quarantine{
 		now: time.Now, crashes: make(map[identity.Incarnation]*Crash), observed: make(map[identity.Incarnation]*Crash),
 		answered: make(map[suspect]time.Time), orders: make(map[orderKey]Order), released: make(map[suspect]time.Time),
+		callsAnswered: make(map[Fingerprint]time.Time), callOrders: make(map[Fingerprint]Order), callsReleased: make(map[Fingerprint]time.Time),
 	}
 	for _, option := range options {
 		option(q)
@@ -119,6 +124,8 @@
 type Attempt struct {
 	Service  identity.Service
 	Endpoint identity.Incarnation
+	// Call is zero if the call has no fingerprint.
+	Call Fingerprint
 	// Parts lists the parts that the call may share with others.
 	Parts []PartID
 	// InProgress is the time since the call was sent.
@@ -127,12 +134,12 @@
 
 // RecordCrash records that an endpoint broke off a call.
 func (q *Quarantine) RecordCrash(a Attempt) {
-	if len(a.Parts) == 0 {
-		return
-	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	crash := Crash{Endpoint: a.Endpoint, Service: a.Service, AtMillis: q.now().UnixMilli(), Parts: make(map[PartID]int64, len(a.Parts))}
+	if a.Call != 0 {
+		crash.Calls = []Fingerprint{a.Call}
+	}
 	for _, part := range a.Parts {
 		crash.Parts[part] = max(1, a.InProgress.Milliseconds())
 	}
@@ -149,6 +156,9 @@
 	for _, part := range a.Parts {
 		q.clear(suspect{a.Service, part}, now)
 	}
+	if a.Call != 0 {
+		q.clearCall(a.Call, now)
+	}
 	crash := q.crashes[a.Endpoint]
 	if crash == nil || crash.survived() || now.Sub(crash.at()) <= survivalMargin {
 		return
@@ -197,6 +207,18 @@
 	return q.inForce()
 }
 
+// Counts returns the number of quarantines in force of prompt parts and of calls.
+func (q *Quarantine) Counts() (parts, calls int) {
+	for _, order := range q.Orders() {
+		if order.Call != 0 {
+			calls++
+		} else {
+			parts++
+		}
+	}
+	return parts, calls
+}
+
 func (q *Quarantine) inForce() []Order {
 	now := q.now()
 	var orders []Order
@@ -205,8 +227,13 @@
 			orders = append(orders, order)
 		}
 	}
+	for _, order := range q.callOrders {
+		if now.Before(order.End()) {
+			orders = append(orders, order)
+		}
+	}
 	slices.SortFunc(orders, func(a, b Order) int {
-		return cmp.Or(cmp.Compare(a.AtMillis, b.AtMillis), cmp.Compare(a.Service, b.Service), slices.Compare(a.Parts, b.Parts))
+		return cmp.Or(cmp.Compare(a.AtMillis, b.AtMillis), cmp.Compare(a.Service, b.Service), slices.Compare(a.Parts, b.Parts), cmp.Compare(a.Call, b.Call))
 	})
 	return orders
 }
@@ -219,6 +246,7 @@
 			delete(crashes, oldest(crashes))
 		}
 	}
+	q.evictCalls(now)
 	known := make(map[suspect]bool)
 	for _, crash := range q.crashes {
 		for part := range crash.Parts {
--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -80,6 +80,7 @@
 	DeadlineExceeded    Reason = "deadline_exceeded"
 	RetryBudget         Reason = "retry_budget"
 	PromptQuarantined   Reason = "prompt_quarantined"
+	CallQuarantined     Reason = "call_quarantined"
 	EndpointRefused     Reason = "endpoint_refused"
 	EndpointLimit       Reason = "endpoint_limit"
 	EndpointQuiet       Reason = "endpoint_quiet"
@@ -101,7 +102,7 @@
 	BadRequest, Unauthorised, UnknownService, UnknownRequest,
 	OrganisationLimit, TargetOutOfReach, QueueTimeout, NoEndpoint, ZoneCutOff,
 	ClaimUnavailable, KeyReused, KeyExpired, DuplicateRunning,
-	DeadlineExceeded, RetryBudget, PromptQuarantined,
+	DeadlineExceeded, RetryBudget, PromptQuarantined, CallQuarantined,
 	EndpointRefused, EndpointLimit, EndpointQuiet, EndpointUnreachable, EndpointLost, EndpointSilent, EndpointLeaving,
 	AnswerGap, AnswerMismatch, HostStopping, HostFull, NoConfiguration, CallerGone, AlreadyRan,
 }
