process/quarantine: no part is blamed for the crashes of one repeated call

Cause: all crashes of a repeated call speak against its parts, too. A part that few other calls have is rarely cleared by an answer in time.

Change: a part against which all crashes speak in which one unanswered call was in progress is not quarantined, unless it was before. The first crash under another call tells the two apart.

--- a/internal/process/quarantine/decide.go
+++ b/internal/process/quarantine/decide.go
@@ -164,7 +164,7 @@
 // together with those that the same crashes speak against.
 func (q *Quarantine) mostCertain(now time.Time, service identity.Service, endpoints int, all map[identity.Incarnation]*Crash, candidates []candidate) (Order, bool) {
 	for i, c := range candidates {
-		if !q.certain(now, service, endpoints, all, c) {
+		if !q.quarantinedBefore(service, c.part) && (q.explainedByCall(c) || !q.certain(now, service, endpoints, all, c)) {
 			continue
 		}
 		order := Order{Service: service, Parts: []PartID{c.part}, AtMillis: now.UnixMilli()}
@@ -192,6 +192,23 @@
 	return Order{}, false
 }
 
+// explainedByCall reports whether one unanswered call was in progress at all of a
+// candidate's crashes, so that the call may be the cause and the part be sound.
+func (q *Quarantine) explainedByCall(c candidate) bool {
+	counts := make(map[Fingerprint]int)
+	for _, crash := range c.crashes {
+		for _, call := range crash.Calls {
+			if crash.at().After(q.callsAnswered[call]) {
+				counts[call]++
+			}
+			if counts[call] == len(c.crashes) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // unshared returns how many of the candidate's crashes don't speak against another one.
 func (c candidate) unshared(other candidate) int {
 	count := 0
@@ -205,9 +222,6 @@
 
 // certain reports whether chance is no explanation for a candidate's crashes.
 func (q *Quarantine) certain(now time.Time, service identity.Service, endpoints int, all map[identity.Incarnation]*Crash, c candidate) bool {
-	if q.quarantinedBefore(service, c.part) {
-		return true
-	}
 	moments, first, inProgress := c.moments()
 	if moments < minCrashes {
 		return false
--- a/internal/process/quarantine/simulation_test.go
+++ b/internal/process/quarantine/simulation_test.go
@@ -278,7 +278,7 @@
 // check records an order that would stop calls without the deadly part.
 func (s *simulation) check(order quarantine.Order) {
 	if order.Call != 0 {
-		// Sound calls may be in progress at several crashes; soundRefused counts them.
+		// soundRefused counts the sound calls that were stopped thereby.
 		return
 	}
 	for _, part := range order.Parts {
@@ -331,7 +331,7 @@
 }
 
 // One call that crashes each endpoint is repeated at any host. It must be stopped in
-// time.
+// time, and sound calls that were in progress at the same crashes or share parts must not.
 func TestRepeatedCallIsStopped(t *testing.T) {
 	for _, d := range callDays {
 		t.Run(d.name, func(t *testing.T) {
@@ -342,6 +342,8 @@
 				s.run()
 				t.Logf("seed %d: %d crashes, %d deadly calls sent, %d late, %d of %d sound calls refused", seed, s.crashes, s.deadlySends, s.lateSends, s.soundRefused, s.sound)
 				c.Check(s.lateSends <= maxLateSends, qt.IsTrue, qt.Commentf("seed %d: %d late calls", seed, s.lateSends))
+				c.Check(s.wrong, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+				c.Check(s.soundRefused, qt.Equals, 0, qt.Commentf("seed %d", seed))
 			}
 		})
 	}
