process/quarantine: parts of different calls are not stopped together

Cause: a first part of another route's long streams was in progress at the same crashes and had not been answered for three seconds. The two were to be stopped together, but no call has both; and the quarantine counted as the explanation of the crashes. Ruled out: reports that were lost (none), the evidence against the part (24 crashes).

Change: hosts remember which parts they have seen in one call. Only such parts are stopped together; of parts of different calls, the one whose calls were in progress for longer is taken to be there by chance.

TestPartsOfOtherCallsAreNotStoppedTogether failed before.

--- a/internal/process/quarantine/decide.go
+++ b/internal/process/quarantine/decide.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -161,7 +160,9 @@
 }
 
 // mostCertain returns the order for the first candidate that is certain enough,
-// together with those that the same crashes speak against.
+// together with those of the same calls that the same crashes speak against. Of two
+// candidates of different calls, the one that was in progress for longer is the one that
+// chance explains better.
 func (q *Quarantine) mostCertain(now time.Time, service identity.Service, endpoints int, all map[identity.Incarnation]*Crash, candidates []candidate) (Order, bool) {
 	for i, c := range candidates {
 		if !q.quarantinedBefore(service, c.part) && (q.explainedByCall(c) || !q.certain(now, service, endpoints, all, c)) {
@@ -170,13 +171,14 @@
 		order := Order{Service: service, Parts: []PartID{c.part}, AtMillis: now.UnixMilli()}
 		ambiguous := false
 		for j, other := range candidates {
-			if i == j {
+			unshared := c.unshared(other)
+			if i == j || unshared >= minUnshared {
 				continue
 			}
-			switch unshared := c.unshared(other); {
-			case unshared == 0:
+			switch together := q.together(service, c.part, other.part); {
+			case together && unshared == 0:
 				order.Parts = append(order.Parts, other.part)
-			case unshared < minUnshared:
+			case together, other.inProgress() < c.inProgress():
 				ambiguous = true
 			}
 		}
@@ -222,7 +224,7 @@
 
 // certain reports whether chance is no explanation for a candidate's crashes.
 func (q *Quarantine) certain(now time.Time, service identity.Service, endpoints int, all map[identity.Incarnation]*Crash, c candidate) bool {
-	moments, first, inProgress := c.moments()
+	moments, first := c.moments()
 	if moments < minCrashes {
 		return false
 	}
@@ -233,7 +235,7 @@
 		}
 	}
 	span := max(minSpan, now.Sub(first))
-	expected := float64(others+1) * inProgress.Seconds() / (span.Seconds() * float64(max(1, endpoints)))
+	expected := float64(others+1) * c.inProgress().Seconds() / (span.Seconds() * float64(max(1, endpoints)))
 	return distuv.Poisson{Lambda: expected}.Survival(float64(moments-1)) < maxChance
 }
 
@@ -244,16 +246,20 @@
 }
 
 // moments counts the candidate's crashes, those at one moment as one. It also returns
-// when the first was and how long calls with the part were in progress before them.
-func (c candidate) moments() (count int, first time.Time, inProgress time.Duration) {
-	ordered := slices.SortedFunc(maps.Values(c.crashes), func(a, b *Crash) int { return cmp.Compare(a.AtMillis, b.AtMillis) })
-	last := time.Time{}
-	for _, crash := range ordered {
-		inProgress += time.Duration(crash.Parts[c.part]) * time.Millisecond
-		if crash.at().Sub(last) >= sameMoment {
-			count++
-			last = crash.at()
-		}
+// when the first was.
+func (c candidate) moments() (count int, first time.Time) {
+	var times []time.Time
+	for _, crash := range c.crashes {
+		times = append(times, crash.at())
+	}
+	return moments(times), slices.MinFunc(times, time.Time.Compare)
+}
+
+// inProgress returns how long calls with the part were in progress before its crashes.
+func (c candidate) inProgress() time.Duration {
+	var total time.Duration
+	for _, crash := range c.crashes {
+		total += time.Duration(crash.Parts[c.part]) * time.Millisecond
 	}
-	return count, ordered[0].at(), inProgress
+	return total
 }
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -20,9 +20,10 @@
 //
 // # Ambiguity
 //
-// If the same crashes speak against several parts, only calls with all of them are
-// stopped. Calls with some of them go on, and what becomes of these tells the parts
-// apart.
+// If the same crashes speak against several parts of the same calls, only calls with all
+// of them are stopped. Calls with some of them go on, and what becomes of these tells the
+// parts apart. Parts of different calls can't be stopped together: the one whose calls
+// were in progress for longer is taken to be there by chance.
 //
 // # Calls
 //
@@ -90,6 +91,9 @@
 	// released holds the parts whose quarantine ended early, with the time of the answer
 	// that ended it. Other hosts may still report the quarantine.
 	released map[suspect]time.Time
+	// companions holds the parts with which a part came in one call that this host saw
+	// broken off.
+	companions map[suspect]map[PartID]bool
 	// callsAnswered, callOrders and callsReleased hold the same for calls, whatever their
 	// parts.
 	callsAnswered map[Fingerprint]time.Time
@@ -113,7 +117,7 @@
 	q := &Quarantine{
 		now: time.Now, crashes: make(map[identity.Incarnation]*Crash), observed: make(map[identity.Incarnation]*Crash),
 		answered: make(map[suspect]time.Time), orders: make(map[orderKey]Order), released: make(map[suspect]time.Time),
-		callsAnswered: make(map[Fingerprint]time.Time), callOrders: make(map[Fingerprint]Order), callsReleased: make(map[Fingerprint]time.Time),
+		companions: make(map[suspect]map[PartID]bool), callsAnswered: make(map[Fingerprint]time.Time), callOrders: make(map[Fingerprint]Order), callsReleased: make(map[Fingerprint]time.Time),
 	}
 	for _, option := range options {
 		option(q)
@@ -143,12 +147,29 @@
 	}
 	for _, part := range a.Parts {
 		crash.Parts[part] = max(1, a.InProgress.Milliseconds())
+		q.recordCompanions(suspect{a.Service, part}, a.Parts)
 	}
 	mergeCrash(q.observed, crash)
 	mergeCrash(q.crashes, crash)
 	q.lastNews = q.now()
 }
 
+func (q *Quarantine) recordCompanions(s suspect, parts []PartID) {
+	if q.companions[s] == nil {
+		q.companions[s] = make(map[PartID]bool)
+	}
+	for _, part := range parts {
+		q.companions[s][part] = true
+	}
+}
+
+// together reports whether two parts may come in one call: they have, or this host does
+// not know calls with each of them.
+func (q *Quarantine) together(service identity.Service, a, b PartID) bool {
+	ofA, ofB := q.companions[suspect{service, a}], q.companions[suspect{service, b}]
+	return ofA == nil || ofB == nil || ofA[b] || ofB[a]
+}
+
 // RecordAnswer records that an endpoint answered a call completely.
 func (q *Quarantine) RecordAnswer(a Attempt) {
 	q.mu.Lock()
@@ -259,6 +280,7 @@
 			known[suspect{order.Service, part}] = true
 		}
 	}
+	maps.DeleteFunc(q.companions, func(s suspect, _ map[PartID]bool) bool { return !known[s] })
 	maps.DeleteFunc(q.answered, func(s suspect, at time.Time) bool { return !known[s] && now.Sub(at) > answerTTL })
 	maps.DeleteFunc(q.orders, func(_ orderKey, o Order) bool { return now.Sub(o.End()) > o.duration() })
 	maps.DeleteFunc(q.released, func(_ suspect, at time.Time) bool { return now.Sub(at) > maxQuarantine })
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -85,6 +85,23 @@
 	c.Assert(h.stops(2), qt.IsFalse)
 }
 
+// Long calls are in progress at all endpoints, also at those that another call's part
+// crashes, and may not be answered for a while. The part must be stopped nevertheless, and
+// their part must not be.
+func TestPartsOfOtherCallsAreNotStoppedTogether(t *testing.T) {
+	c := qt.New(t)
+	h := newHost()
+	for range 6 {
+		h.crash(666)
+		long := attempt(fmt.Sprint("crashed", h.crashes), 7)
+		long.InProgress = 3 * time.Second
+		h.RecordCrash(long)
+	}
+	h.decide()
+	c.Assert(h.stops(666), qt.IsTrue)
+	c.Assert(h.stops(7), qt.IsFalse)
+}
+
 // All endpoints may be lost at one moment, and with them calls with any part.
 func TestCrashesAtOneMomentCountOnce(t *testing.T) {
 	c := qt.New(t)
