forward, gateway, platform: the log names software versions and resumed streams

Of a stream that went on, operators could not see at which software version, nor which request began it: the three hypotheses of the incident look alike.

No logic depends on either yet.

--- a/internal/process/forward/call.go
+++ b/internal/process/forward/call.go
@@ -38,6 +38,9 @@
 	Units          float64
 	// LastEvent is the event after which the caller resumes a stream, or -1.
 	LastEvent int64
+	// Resumes is the id of the caller's request that brought the first event of the stream
+	// that this one resumes; empty if not stated.
+	Resumes identity.Request
 }
 
 // AnswerClass classifies an answer by its status and header.
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -198,11 +198,11 @@
 		if failure == nil {
 			k.recordAnswer(choice, time.Since(sentAt))
 			k.f.Log.Info("call_answered", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
-				"expected_wait", choice.Wait, "uncached", choice.Uncached, "attempts", k.failures, "last_event", k.lastEvent,
+				"software", choice.Endpoint.Software, "resumes", k.Resumes, "expected_wait", choice.Wait, "uncached", choice.Uncached, "attempts", k.failures, "last_event", k.lastEvent,
 				"limited", k.advice.Limited, "limit", k.advice.PerSecond, "after", time.Since(k.Arrived))
 			return nil
 		}
-		k.failures = append(k.failures, string(choice.Endpoint.Incarnation)+" "+string(failure.Reason)+" "+failure.Verdict.String())
+		k.failures = append(k.failures, string(choice.Endpoint.Incarnation)+" "+string(choice.Endpoint.Software)+" "+string(failure.Reason)+" "+failure.Verdict.String())
 		if endpoint.Disconnected(failure) {
 			k.f.Quarantine.RecordCrash(k.quarantineAttempt(choice, time.Since(sentAt)))
 			k.f.Log.Warn("connection_lost", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
@@ -354,7 +354,7 @@
 	failure = failure.WithEarlier(k.overall)
 	k.f.Log.Warn("call_failed",
 		"request", k.ID, "route", k.Route.Name, "service", k.Service.ID, "reason", failure.Reason, "verdict", failure.Verdict,
-		"attempts", k.failures, "started", k.started, "last_event", k.lastEvent, "after", time.Since(k.Arrived), "error", failure.CauseText())
+		"resumes", k.Resumes, "attempts", k.failures, "started", k.started, "last_event", k.lastEvent, "after", time.Since(k.Arrived), "error", failure.CauseText())
 	return failure
 }
 
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -175,7 +175,7 @@
 	if previous.endpoint.Incarnation == e.Incarnation {
 		e.FirstSeen = previous.endpoint.FirstSeen
 	} else {
-		g.log.Info("endpoint_found", "endpoint", e.Host, "service", e.Service, "zone", e.Zone, "address", e.Address, "reclaimable", e.Reclaimable)
+		g.log.Info("endpoint_found", "endpoint", e.Host, "service", e.Service, "zone", e.Zone, "address", e.Address, "software", e.Software, "reclaimable", e.Reclaimable)
 	}
 	if e.Leaving {
 		g.markLeaving(now, e.Incarnation, "store", item.Revision)
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -42,6 +42,8 @@
 	ChecksFence bool
 	// Slots is the number of requests it runs concurrently; zero if not reported.
 	Slots int
+	// Software is the version of its software; empty if not reported.
+	Software identity.Software
 	// Started is when the incarnation started by its own clock; zero if unknown.
 	Started time.Time
 	// FirstSeen is when this entry host first saw the incarnation.
--- a/internal/version/identity/identity.go
+++ b/internal/version/identity/identity.go
@@ -48,6 +48,9 @@
 // Request identifies an accepted request for as long as its response is kept.
 type Request string
 
+// Software names the version of the software that an endpoint runs. Versions have no order.
+type Software string
+
 // Command identifies an operator command; a retry carries the same Command.
 type Command string
 
