process/forward, process/balance: a stream goes on only at its software version

Cause: the version in an endpoint's entry was not read, so a host resumed a stream that broke off at any endpoint of the service. Ruled out: the clients' own take-ups, which are another fault (the log names both apart).

Change: from its first event on a call is bound to the software version that wrote it. Without another endpoint of that version the answer ends early, and a silent stream is not cut, as nothing could go on with it.

TestBrokenStreamGoesOnAtItsSoftwareVersion, TestBrokenStreamDoesNotGoOnAtAnotherVersion and TestSilentStreamIsNotCutWithoutAnotherEndpointOfItsVersion failed before.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -57,6 +57,9 @@
 	Prompt, Output unit.Tokens
 	// Avoid lists endpoints that were already tried.
 	Avoid []identity.Incarnation
+	// Software, if set, is the software version that began the call's stream. What two
+	// versions write does not fit together, so only endpoints of this one are chosen.
+	Software *identity.Software
 }
 
 // Choice is the endpoint chosen for a call.
@@ -241,6 +244,20 @@
 	return limited, quiet
 }
 
+// allows reports whether an endpoint's software may serve the call.
+func (c *Call) allows(e fleet.Endpoint) bool { return c.Software == nil || e.Software == *c.Software }
+
+// HasOther reports whether a service has another endpoint than the given one that runs
+// the same software and is not leaving.
+func (b *Balancer) HasOther(now time.Time, e fleet.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.services[e.Service], func(s *endpointState) bool {
+		return s.endpoint.Incarnation != e.Incarnation && s.endpoint.Software == e.Software &&
+			!s.endpoint.Leaving && !b.advice.Leaving(now, s.endpoint.Incarnation)
+	})
+}
+
 // query is a call with what is derived for it once for all endpoints.
 type query struct {
 	Call
@@ -279,7 +296,7 @@
 func (b *Balancer) cheapest(now time.Time, q query, list []*endpointState) (best rankedChoice, found bool) {
 	lowestCost := 0.0
 	for _, s := range list {
-		if s.endpoint.Leaving || slices.Contains(q.Avoid, s.endpoint.Incarnation) || !b.advice.Open(now, s.endpoint.Incarnation) {
+		if s.endpoint.Leaving || !q.allows(s.endpoint) || slices.Contains(q.Avoid, s.endpoint.Incarnation) || !b.advice.Open(now, s.endpoint.Incarnation) {
 			continue
 		}
 		choice := b.estimate(now, s, q)
--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -34,6 +34,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	k.sends++
+	k.endpoint = choice.Endpoint
 	progressTimer := time.AfterFunc(k.progressTimeout(), func() { cancel(errNoProgress) })
 	defer progressTimer.Stop()
 	outstanding := k.f.balancer.Start(time.Now(), choice, k.call)
@@ -66,7 +67,8 @@
 // one with this number of runs, can be resumed at another endpoint. If it can't, giving
 // the silent one up would only cut the answer, which may go on.
 func (k *forwarding) canResumeAfter(runs int) bool {
-	return k.Route.Retryable() && (!k.started || k.resumable) && runs < k.Route.Attempts && k.sends < maxSends && k.f.budget.Available(time.Now(), k.Service.ID)
+	return k.Route.Retryable() && (!k.started || k.resumable) && runs < k.Route.Attempts && k.sends < maxSends &&
+		(k.call.Software == nil || k.f.balancer.HasOther(time.Now(), k.endpoint)) && k.f.budget.Available(time.Now(), k.Service.ID)
 }
 
 // exchange sends the call and passes its answer on.
@@ -239,6 +241,9 @@
 		if err != nil {
 			return balance.Failed, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointLost, err)
 		}
+		if k.call.Software == nil {
+			k.call.Software = &k.endpoint.Software
+		}
 		k.recordProgress(outstanding, progressTimer)
 		if e.ID >= 0 && e.ID <= k.lastEvent || !continued && e.Comment {
 			continue
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -13,10 +13,12 @@
 // # Streams
 //
 // Only complete events are passed on. If a resumable stream breaks off, it is
-// resumed at another endpoint after the last event that was passed on. Repeated
-// events are dropped; a missing event ends the attempt. So does any answer but a
-// stream that goes on at the next event, as callers would find it in their stream. A
-// resumed stream without a further event is complete only if its answer states its end.
+// resumed at another endpoint after the last event that was passed on. Software
+// versions write different text, so only endpoints with the version that began the
+// stream may go on with it. Repeated events are dropped; a missing event ends the
+// attempt. So does any answer but a stream that goes on at the next event, as callers
+// would find it in their stream. A resumed stream without a further event is complete
+// only if its answer states its end.
 package forward
 
 import (
@@ -39,6 +41,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/retry"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 	"github.com/dandelionlift/dandelionlift/internal/version/unit"
 )
@@ -111,6 +114,8 @@
 	w http.ResponseWriter
 	// call describes the call to the balancer; endpoints already tried are avoided.
 	call balance.Call
+	// endpoint is that of the current attempt.
+	endpoint fleet.Endpoint
 	// shared lists the prompt's parts that other calls may have too.
 	shared []quarantine.PartID
 	// fingerprint is what the call has in common with its repeats.
