process/origin: a stream that a caller takes up goes on at its software version

Cause: nothing knew at which version a stream had begun.

Change: hosts remember where their streams began and, while a service has several software versions, write that to the store each 250 ms in shards by request id; other hosts look there for a stream that they don't know. The leader writes which versions have served lately: with a single one every stream goes on, as before. A stream whose origin is not known, or whose version has no endpoint left, is refused at once as not run.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -247,6 +247,16 @@
 // allows reports whether an endpoint's software may serve the call.
 func (c *Call) allows(e fleet.Endpoint) bool { return c.Software == nil || e.Software == *c.Software }
 
+// Serves reports whether a service has an endpoint that runs the given software and is not
+// leaving.
+func (b *Balancer) Serves(service identity.Service, software identity.Software) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.services[service], func(s *endpointState) bool {
+		return !s.endpoint.Leaving && s.endpoint.Software == software
+	})
+}
+
 // HasOther reports whether a service has another endpoint than the given one that runs
 // the same software and is not leaving.
 func (b *Balancer) HasOther(now time.Time, e fleet.Endpoint) bool {
--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -68,7 +68,7 @@
 // the silent one up would only cut the answer, which may go on.
 func (k *forwarding) canResumeAfter(runs int) bool {
 	return k.Route.Retryable() && (!k.started || k.resumable) && runs < k.Route.Attempts && k.sends < maxSends &&
-		(k.call.Software == nil || k.f.balancer.HasOther(time.Now(), k.endpoint)) && k.f.budget.Available(time.Now(), k.Service.ID)
+		k.f.balancer.HasOther(time.Now(), k.endpoint) && k.f.budget.Available(time.Now(), k.Service.ID)
 }
 
 // exchange sends the call and passes its answer on.
@@ -241,9 +241,6 @@
 		if err != nil {
 			return balance.Failed, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointLost, err)
 		}
-		if k.call.Software == nil {
-			k.call.Software = &k.endpoint.Software
-		}
 		k.recordProgress(outstanding, progressTimer)
 		if e.ID >= 0 && e.ID <= k.lastEvent || !continued && e.Comment {
 			continue
@@ -252,12 +249,25 @@
 			return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.AnswerGap, fmt.Sprintf("event %d after %d", e.ID, k.lastEvent))
 		}
 		continued = true
+		k.bindToSoftware()
 		if err := k.writeEvent(answer, e); err != nil {
 			return balance.Abandoned, verdict.Wrap(verdict.MayHaveRun, verdict.CallerGone, err)
 		}
 	}
 }
 
+// bindToSoftware makes a stream go on only at the software version that begins it.
+func (k *forwarding) bindToSoftware() {
+	if k.call.Software != nil {
+		return
+	}
+	software := k.endpoint.Software
+	k.call.Software = &software
+	if k.Route.Resumable {
+		k.f.OnStreamBegun(k.Call, k.endpoint)
+	}
+}
+
 // eventStreamType is the media type of a stream of events.
 const eventStreamType = "text/event-stream"
 
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -85,6 +85,12 @@
 	// Quarantine holds the prompt parts and the calls that crash endpoints; calls with these
 	// parts, and repeats of these calls, are refused.
 	Quarantine *quarantine.Quarantine
+	// Origin returns the service and software version at which the stream began that a call
+	// resumes, or a refusal if it can't go on.
+	Origin func(ctx context.Context, c *Call) (*catalogue.Service, identity.Software, *verdict.Error)
+	// OnStreamBegun is called with the endpoint that began a stream before its first event
+	// is passed on. A resumed stream began earlier.
+	OnStreamBegun func(c *Call, e fleet.Endpoint)
 	// Advice holds what endpoints say of themselves. The balancer keeps to it.
 	Advice *advice.Keeper
 	// OnLeaving is called with an endpoint that says in an answer that it is leaving,
@@ -101,7 +107,11 @@
 // New returns a Forwarder.
 func New(pool *endpoint.Pool, b *balance.Balancer, q *quota.Quota, budget *retry.Budget, m *meter.Meter) *Forwarder {
 	return &Forwarder{
-		OnExecuted: func(identity.Organisation) {}, OnOffered: func(*Call, unit.Tokens) {}, OnMisdirected: func(identity.Incarnation) {}, OnLeaving: func(identity.Incarnation) {}, Log: slog.Default(),
+		Origin: func(_ context.Context, c *Call) (*catalogue.Service, identity.Software, *verdict.Error) {
+			return c.Service, "", nil
+		},
+		OnStreamBegun: func(*Call, fleet.Endpoint) {},
+		OnExecuted:    func(identity.Organisation) {}, OnOffered: func(*Call, unit.Tokens) {}, OnMisdirected: func(identity.Incarnation) {}, OnLeaving: func(identity.Incarnation) {}, Log: slog.Default(),
 		Quarantine: quarantine.New(), Advice: advice.New(limit.New()),
 		pool: pool, balancer: b, quota: q, budget: budget, meter: m,
 	}
@@ -158,6 +168,10 @@
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, c *Call) (started bool, failure *verdict.Error) {
 	ctx, cancel := context.WithDeadlineCause(ctx, c.Deadline, errDeadline)
 	defer cancel()
+	software, failure := f.findOrigin(ctx, c)
+	if failure != nil {
+		return false, failure
+	}
 	f.budget.RecordCall(c.Arrived, c.Service.ID)
 	shared := sharedParts(c.Parts)
 	call := fingerprint(c)
@@ -172,7 +186,7 @@
 	}
 	k := &forwarding{
 		Call: c, f: f, w: w, shared: shared, fingerprint: call, overall: verdict.NotRun, lastEvent: c.LastEvent,
-		call: balance.Call{Service: c.Service, Parts: c.Parts, Prompt: c.Prompt, Output: c.Output},
+		call: balance.Call{Service: c.Service, Parts: c.Parts, Prompt: c.Prompt, Output: c.Output, Software: software},
 	}
 	failure = k.run(ctx)
 	if !k.counted && k.overall == verdict.NotRun && c.Organisation != nil {
@@ -181,6 +195,20 @@
 	return k.started, failure
 }
 
+// findOrigin returns the software version at which the stream began that a call resumes,
+// or nil for another call. It sets the call's service to that of the stream.
+func (f *Forwarder) findOrigin(ctx context.Context, c *Call) (*identity.Software, *verdict.Error) {
+	if c.Route.Kind != catalogue.Stream || c.LastEvent < 0 {
+		return nil, nil
+	}
+	service, software, failure := f.Origin(ctx, c)
+	if failure != nil {
+		return nil, failure
+	}
+	c.Service = service
+	return &software, nil
+}
+
 var errDeadline = errors.New("deadline reached")
 
 // admit charges the call to the organisation's limit.
@@ -264,6 +292,8 @@
 		return refused(verdict.EndpointLimit, longRetryAfter)
 	case quiet > 0:
 		return refused(verdict.EndpointQuiet, max(shortRetryAfter, quiet))
+	case k.call.Software != nil && !k.f.balancer.Serves(k.Service.ID, *k.call.Software):
+		return refused(verdict.StreamVersionGone, 0)
 	default:
 		return refused(verdict.NoEndpoint, longRetryAfter)
 	}
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -257,6 +257,7 @@
 	}
 	g.balancer.SetEndpoints(published)
 	g.endpoints.Store(&published)
+	g.origins.versions.Observe(published)
 	g.leaving.Store(&leaving)
 	g.updateIdleLimits()
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/mirror"
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
+	"github.com/dandelionlift/dandelionlift/internal/process/origin"
 	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/quota"
 	"github.com/dandelionlift/dandelionlift/internal/process/retry"
@@ -105,6 +106,7 @@
 	quota         *quota.Quota
 	quarantine    *quarantine.Quarantine
 	advice        *advice.Keeper
+	origins       originState
 	usage         *usage.Counter
 	recorder      *usage.Recorder
 	neighbours    *neighbour.Neighbours
@@ -166,6 +168,8 @@
 		_, calls := g.quarantine.Counts()
 		return float64(calls)
 	})
+	g.origins.streams = origin.NewStreams()
+	g.origins.versions = origin.NewVersions(g.clock.Now)
 	g.usage = usage.New(g.incarnation, self.Zone, bounds.UsageWindow)
 	g.recorder = usage.NewRecorder(platform.Store, usagePrefix, g.usage.Total)
 	g.speed = speed.New()
@@ -203,6 +207,10 @@
 	g.forwarder = forward.New(g.pool, g.balancer, g.quota, g.budget, m)
 	g.forwarder.Protocol, g.forwarder.Log, g.forwarder.Quarantine = platform.Protocol, log, g.quarantine
 	g.forwarder.Advice, g.forwarder.OnLeaving = g.advice, g.onLeaving
+	g.forwarder.Origin = g.findOrigin
+	g.forwarder.OnStreamBegun = func(c *forward.Call, e fleet.Endpoint) {
+		g.origins.streams.Record(c.ID, origin.Origin{Service: e.Service, Software: e.Software})
+	}
 	g.forwarder.OnExecuted = func(id identity.Organisation) { g.usage.RecordCall(g.clock.Now(), id) }
 	g.forwarder.OnOffered, g.forwarder.OnMisdirected = g.recordDemand, g.onMisdirected
 	g.liveReports.Store(new([]neighbour.ReceivedReport))
@@ -237,6 +245,7 @@
 	group.Go(func() error { return g.runUsage(ctx) })
 	group.Go(func() error { return g.runScaling(ctx) })
 	group.Go(func() error { return g.runQuarantine(ctx) })
+	group.Go(func() error { return g.runOrigins(ctx) })
 	return group.Wait()
 }
 
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -42,6 +42,8 @@
 	getErr error
 	// written counts the writes of each of the system's own keys in each era.
 	written map[string]map[keyvalue.Era]int
+	// listsOwn makes ranges contain the system's own keys, too.
+	listsOwn bool
 }
 
 // commit executes a transaction of the system itself.
@@ -147,6 +149,11 @@
 			listing.Values = append(listing.Values, v)
 		}
 	}
+	for key, v := range s.own {
+		if s.listsOwn && strings.HasPrefix(key, prefix) {
+			listing.Values = append(listing.Values, v)
+		}
+	}
 	return listing, nil
 }
 
--- a/internal/process/gateway/register.go
+++ b/internal/process/gateway/register.go
@@ -95,6 +95,9 @@
 	if err := g.readQuarantine(ctx); err != nil {
 		return err
 	}
+	if err := g.readVersions(ctx); err != nil {
+		return err
+	}
 	listing, err := g.platform.Store.Range(ctx, hostsPrefix)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/process/origin/origin_test.go
@@ -0,0 +1,147 @@
+package origin_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dandelionlift/dandelionlift/internal/process/origin"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+// testClock is a clock that the test advances.
+type testClock struct{ time.Time }
+
+func newClock() *testClock { return &testClock{time.Unix(1_000_000, 0)} }
+
+func (c *testClock) now() time.Time          { return c.Time }
+func (c *testClock) advance(d time.Duration) { c.Time = c.Add(d) }
+
+// All streams of a second of a large host must be found in the stored form, each at its
+// own origin.
+func TestStoredStreamsAreFound(t *testing.T) {
+	c := qt.New(t)
+	s := origin.NewStreams()
+	want := make(map[identity.Request]origin.Origin)
+	for i := range 1000 {
+		id := identity.Request(fmt.Sprint("request-", i))
+		want[id] = origin.Origin{Service: identity.Service(fmt.Sprint("s", i%2)), Software: identity.Software(fmt.Sprint("v", i%3))}
+		s.Record(id, want[id])
+	}
+	stored := make(map[origin.Shard][]byte)
+	for _, shard := range s.Changed() {
+		data, err := s.Document(shard)
+		c.Assert(err, qt.IsNil)
+		stored[shard] = data
+	}
+	c.Assert(stored, qt.HasLen, origin.Shards)
+	c.Assert(s.Changed(), qt.HasLen, 0)
+	for id, o := range want {
+		found, ok, err := origin.FindStored(stored[origin.ShardOf(id)], id)
+		c.Assert(err, qt.IsNil)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(found, qt.Equals, o)
+		found, ok = s.Find(id)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(found, qt.Equals, o)
+	}
+	_, ok, err := origin.FindStored(stored[origin.ShardOf("other")], "other")
+	c.Assert(err, qt.IsNil)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = s.Find("other")
+	c.Assert(ok, qt.IsFalse)
+}
+
+// What another writer left in the store must not be taken for a stream, nor end the process.
+func TestMalformedDocumentsHoldNoStream(t *testing.T) {
+	c := qt.New(t)
+	for _, data := range []string{"", "null", "{}", `{"s":{"v":"AAA="}}`, `{"s":7}`, `[]`} {
+		_, found, _ := origin.FindStored([]byte(data), "1")
+		c.Check(found, qt.IsFalse, qt.Commentf("%s", data))
+	}
+	v := origin.NewVersions(newClock().now)
+	c.Check(v.Merge([]byte(`{"s":"v1"}`)), qt.IsNotNil)
+	_, complete := v.Recent("s")
+	c.Check(complete, qt.IsFalse)
+}
+
+func TestStreamsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	s := origin.NewStreams(origin.WithClock(clock.now))
+	s.Record("1", origin.Origin{Service: "s", Software: "v1"})
+	clock.advance(origin.Retention)
+	s.Record("2", origin.Origin{Service: "s", Software: "v1"})
+	_, found := s.Find("1")
+	c.Check(found, qt.IsFalse)
+	data, err := s.Document(origin.ShardOf("1"))
+	c.Assert(err, qt.IsNil)
+	_, found, err = origin.FindStored(data, "1")
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.IsFalse)
+	_, found = s.Find("2")
+	c.Check(found, qt.IsTrue)
+}
+
+func endpoints(versions ...identity.Software) []fleet.Endpoint {
+	var list []fleet.Endpoint
+	for _, version := range versions {
+		list = append(list, fleet.Endpoint{Service: "s", Software: version})
+	}
+	return list
+}
+
+// A version counts until no caller can still wait for a stream that it began.
+func TestVersionsAreRecentForAsLongAsStreamsLast(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	v := origin.NewVersions(clock.now)
+	c.Assert(v.Merge(nil), qt.IsNil)
+	recent := func() []identity.Software {
+		list, complete := v.Recent("s")
+		c.Assert(complete, qt.IsTrue)
+		return list
+	}
+	v.Observe(endpoints("v1", "v1"))
+	c.Check(recent(), qt.DeepEquals, []identity.Software{"v1"})
+	c.Check(v.Several(), qt.IsFalse)
+	v.Observe(endpoints("v1", "v2"))
+	clock.advance(time.Hour)
+	c.Check(recent(), qt.DeepEquals, []identity.Software{"v1", "v2"})
+	v.Observe(endpoints("v2"))
+	clock.advance(origin.Retention - time.Second)
+	c.Check(recent(), qt.DeepEquals, []identity.Software{"v1", "v2"})
+	c.Check(v.Several(), qt.IsTrue)
+	clock.advance(time.Second)
+	c.Check(recent(), qt.DeepEquals, []identity.Software{"v2"})
+	v.Observe(endpoints("v1"))
+	c.Check(recent(), qt.DeepEquals, []identity.Software{"v1", "v2"})
+}
+
+// All hosts were killed while a release was going on, and only the new version is left
+// when they are back. They must know that streams may have begun at the old one.
+func TestVersionsOutlastARestart(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	before := origin.NewVersions(clock.now)
+	before.Observe(endpoints("v1"))
+	stored, err := before.Document()
+	c.Assert(err, qt.IsNil)
+	clock.advance(3 * time.Second)
+	for _, observedFirst := range []bool{false, true} {
+		after := origin.NewVersions(clock.now)
+		if observedFirst {
+			after.Observe(endpoints("v2"))
+		}
+		_, complete := after.Recent("s")
+		c.Check(complete, qt.IsFalse)
+		c.Assert(after.Merge(stored), qt.IsNil)
+		after.Observe(endpoints("v2"))
+		list, complete := after.Recent("s")
+		c.Check(complete, qt.IsTrue)
+		c.Check(list, qt.DeepEquals, []identity.Software{"v1", "v2"})
+	}
+}
--- /dev/null
+++ b/internal/process/origin/versions.go
@@ -0,0 +1,138 @@
+package origin
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
+)
+
+// Versions holds which software versions have served lately, by service. Create one with
+// NewVersions.
+type Versions struct {
+	now func() time.Time
+
+	mu sync.Mutex
+	// gone holds when the last endpoint of a version was gone, zero while there is one.
+	gone map[identity.Service]map[identity.Software]time.Time
+	// complete is set once what earlier processes knew has been merged.
+	complete bool
+}
+
+// NewVersions returns Versions without any. The clock should be one on which the hosts
+// agree.
+func NewVersions(now func() time.Time) *Versions {
+	return &Versions{now: now, gone: make(map[identity.Service]map[identity.Software]time.Time)}
+}
+
+// Observe records the versions of the endpoints that there are now.
+func (v *Versions) Observe(endpoints []fleet.Endpoint) {
+	present := make(map[Origin]bool, len(endpoints))
+	for i := range endpoints {
+		present[Origin{endpoints[i].Service, endpoints[i].Software}] = true
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	for o := range present {
+		v.set(o, time.Time{})
+	}
+	for service, bySoftware := range v.gone {
+		for software, gone := range bySoftware {
+			if gone.IsZero() && !present[Origin{service, software}] {
+				bySoftware[software] = now
+			}
+		}
+		maps.DeleteFunc(bySoftware, func(_ identity.Software, gone time.Time) bool { return v.old(now, gone) })
+	}
+}
+
+func (v *Versions) old(now, gone time.Time) bool { return !gone.IsZero() && now.Sub(gone) >= Retention }
+
+func (v *Versions) set(o Origin, gone time.Time) {
+	if v.gone[o.Service] == nil {
+		v.gone[o.Service] = make(map[identity.Software]time.Time)
+	}
+	v.gone[o.Service][o.Software] = gone
+}
+
+// Recent returns the versions of a service with which streams may have begun that callers
+// still wait for, in order. It returns false if there may be others.
+func (v *Versions) Recent(service identity.Service) ([]identity.Software, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	var list []identity.Software
+	for software, gone := range v.gone[service] {
+		if !v.old(now, gone) {
+			list = append(list, software)
+		}
+	}
+	slices.Sort(list)
+	return list, v.complete
+}
+
+// Several reports whether any service has had several versions lately.
+func (v *Versions) Several() bool {
+	v.mu.Lock()
+	services := slices.Collect(maps.Keys(v.gone))
+	v.mu.Unlock()
+	return slices.ContainsFunc(services, func(service identity.Service) bool {
+		list, _ := v.Recent(service)
+		return len(list) > 1
+	})
+}
+
+// versionsDocument is the stored form of Versions: when a version was gone, in Unix
+// milliseconds, or zero.
+type versionsDocument map[identity.Service]map[identity.Software]int64
+
+// Document returns the stored form.
+func (v *Versions) Document() ([]byte, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	d := make(versionsDocument)
+	for service, bySoftware := range v.gone {
+		d[service] = make(map[identity.Software]int64)
+		for software, gone := range bySoftware {
+			if !gone.IsZero() {
+				d[service][software] = gone.UnixMilli()
+			} else {
+				d[service][software] = 0
+			}
+		}
+	}
+	return json.Marshal(d)
+}
+
+// Merge adds what an earlier process has stored; data is nil if nothing was. A version that
+// was there then and that this process has not seen is taken to be gone only now.
+func (v *Versions) Merge(data []byte) error {
+	var d versionsDocument
+	if data != nil {
+		if err := json.Unmarshal(data, &d); err != nil {
+			return err
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	for service, bySoftware := range d {
+		for software, millis := range bySoftware {
+			if _, known := v.gone[service][software]; known {
+				continue
+			}
+			gone := now
+			if millis != 0 && time.UnixMilli(millis).Before(now) {
+				gone = time.UnixMilli(millis)
+			}
+			v.set(Origin{service, software}, gone)
+		}
+	}
+	v.complete = true
+	return nil
+}
--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -88,6 +88,8 @@
 	EndpointLost        Reason = "endpoint_lost"
 	EndpointSilent      Reason = "endpoint_silent"
 	EndpointLeaving     Reason = "endpoint_leaving"
+	StreamOriginUnknown Reason = "stream_origin_unknown"
+	StreamVersionGone   Reason = "stream_version_gone"
 	AnswerGap           Reason = "answer_gap"
 	AnswerMismatch      Reason = "answer_mismatch"
 	HostStopping        Reason = "host_stopping"
@@ -104,7 +106,7 @@
 	ClaimUnavailable, KeyReused, KeyExpired, DuplicateRunning,
 	DeadlineExceeded, RetryBudget, PromptQuarantined, CallQuarantined,
 	EndpointRefused, EndpointLimit, EndpointQuiet, EndpointUnreachable, EndpointLost, EndpointSilent, EndpointLeaving,
-	AnswerGap, AnswerMismatch, HostStopping, HostFull, NoConfiguration, CallerGone, AlreadyRan,
+	StreamOriginUnknown, StreamVersionGone, AnswerGap, AnswerMismatch, HostStopping, HostFull, NoConfiguration, CallerGone, AlreadyRan,
 }
 
 // Error is the refusal or failure of a request, with its verdict.
--- a/internal/version/catalogue/catalogue.go
+++ b/internal/version/catalogue/catalogue.go
@@ -74,6 +74,11 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// Leads reports whether the route leads to a service.
+func (r *Route) Leads(to identity.Service) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == to })
+}
+
 // Engine describes the endpoints of a model service.
 type Engine struct {
 	// Slots is the number of requests that an endpoint runs concurrently.
