process/quota: a host that has just started assumes the others' demand

Cause: a restarted host's average of demand starts at zero and rises over seconds, and the demand of others arrives in reports. Ruled out: shares that add up to more than the limit (1.03 to 1.06 of it before the kill, which the tolerance covers). Not ruled out as a part of it: the kill forgets what the buckets were overdrawn by.

Change: a young average counts the time since the first call only, and in the first two seconds after its start a host takes the demand of the others of its pool to be its own, unless they report as much.

--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -44,6 +44,13 @@
 	// demandWindow is the time constant of the demand average; reported demand
 	// follows a change within seconds.
 	demandWindow = 2 * time.Second
+	// minDemandPeriod is the shortest period over which demand is averaged, so that the
+	// first call is not taken for a high demand.
+	minDemandPeriod = 500 * time.Millisecond
+	// unheardTime is how long after its start a host takes the demand of the other hosts
+	// of its pool to be that of its own, if they report less: they may have started with
+	// it, and their reports of it are on their way. Hosts are ready within a second.
+	unheardTime = 2 * time.Second
 	// minShareRatio is the fraction of an equal share that a pool gets even
 	// without demand.
 	minShareRatio = 0.25
@@ -139,7 +146,7 @@
 	}
 	need -= slackDebtRatio * q.slack / float64(q.pools)
 	perSecond := o.RateLimit.PerSecond * b.share
-	if b.units < need || b.units <= 0 && need >= 0 || b.throttled(perSecond) {
+	if b.units < need || b.units <= 0 && need >= 0 || b.throttled(perSecond, q.assumedDemand(now, b)) {
 		wait := time.Duration(max(0, need-b.units) / perSecond * float64(time.Second))
 		return Refusal{Wait: wait, Available: b.units, Needed: need, PerSecond: perSecond}, false
 	}
@@ -148,6 +155,14 @@
 	return Refusal{}, true
 }
 
+// assumedDemand returns the units per second requested from all hosts of the pool.
+func (q *Quota) assumedDemand(now time.Time, b *bucket) float64 {
+	if own := b.demandPerSecond(now); now.Sub(q.started) < unheardTime && b.poolDemand < 2*own {
+		return max(b.poolDemand, own*float64(b.poolHosts))
+	}
+	return b.poolDemand
+}
+
 // Return refunds the units of a call that was not executed. They still count as
 // admitted to the other hosts, whose counters only rise.
 func (q *Quota) Return(o *catalogue.Organisation, units float64) {
@@ -164,8 +179,7 @@
 	defer q.mu.Unlock()
 	rates := make(Demand, len(q.buckets))
 	for id, b := range q.buckets {
-		b.addDemand(now, 0)
-		rates[id] = b.demand / demandWindow.Seconds()
+		rates[id] = b.demandPerSecond(now)
 	}
 	return rates
 }
@@ -215,7 +229,14 @@
 	hosts = max(hosts, reporting)
 	reportingShare := float64(reporting) / float64(hosts)
 	q.initialShare, q.pools = reportingShare/float64(pools), pools
+	poolHosts := 1
+	for _, p := range peers {
+		if p.InPool {
+			poolHosts += p.HostCount
+		}
+	}
 	for id, b := range q.buckets {
+		b.poolHosts = poolHosts
 		pool, sum := own[id], own[id]
 		for _, p := range peers {
 			sum += p.Demand[id]
@@ -245,7 +266,7 @@
 func (q *Quota) bucketOf(now time.Time, id identity.Organisation) *bucket {
 	b := q.buckets[id]
 	if b == nil {
-		b = &bucket{filledAt: q.started, demandAt: now, share: q.initialShare}
+		b = &bucket{filledAt: q.started, demandAt: now, demandSince: q.started.Add(unheardTime), share: q.initialShare}
 		q.buckets[id] = b
 	}
 	return b
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -38,19 +38,39 @@
 // exchange their reports once per period, which arrive a period later. It returns the
 // calls that passed and those that were refused.
 func simulate(hosts int, o *catalogue.Organisation, period time.Duration, arrivals func(second float64, host int) []float64) (passed, refused []call) {
-	start := time.Unix(1000, 0)
+	return simulateRestart(hosts, o, period, time.Hour, arrivals)
+}
+
+// restartedHosts returns hosts that start at one moment.
+func restartedHosts(hosts int, start time.Time) []*quota.Quota {
 	quotas := make([]*quota.Quota, hosts)
 	for i := range quotas {
 		quotas[i] = quota.New(start, quota.WithSlack(slack))
 	}
+	return quotas
+}
+
+// readyDelay is how long a host takes no calls after its start.
+const readyDelay = 600 * time.Millisecond
+
+// simulateRestart is simulate with a restart of all hosts at one moment.
+func simulateRestart(hosts int, o *catalogue.Organisation, period, restart time.Duration, arrivals func(second float64, host int) []float64) (passed, refused []call) {
+	start := time.Unix(1000, 0)
+	quotas := restartedHosts(hosts, start)
 	const step = 50 * time.Millisecond
 	next := start
 	var sent []report
 	for now := start; now.Sub(start) < time.Minute; now = now.Add(step) {
+		if now.Sub(start) == restart {
+			quotas, sent = restartedHosts(hosts, now), nil
+		}
 		if !now.Before(next) {
 			next = now.Add(period)
 			sent = exchange(quotas, o, now, sent)
 		}
+		if since := now.Sub(start) - restart; since >= 0 && since < readyDelay {
+			continue
+		}
 		for i, q := range quotas {
 			for _, units := range arrivals(now.Sub(start).Seconds(), i) {
 				if _, ok := q.Take(now, o, units); ok {
@@ -255,6 +275,26 @@
 	}
 }
 
+// All hosts are killed and start again while an organisation asks for a multiple of its
+// limit. None of them knows what the others let pass, nor the demand, and the bound holds.
+func TestRestartOfAllHostsStaysWithinBound(t *testing.T) {
+	for _, hosts := range []int{8, 90, 300} {
+		for _, excess := range []float64{1.5, 2.5, 6} {
+			t.Run(fmt.Sprintf("%v times the limit on %d hosts", excess, hosts), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				for seed := range uint64(3) {
+					const perSecond = 537_000
+					rng := rand.New(rand.NewPCG(seed, 6))
+					passed, _ := simulateRestart(hosts, organisation(perSecond), reportPeriod, 20*time.Second, randomCalls(rng, hosts, excess*perSecond, 9_000))
+					got := maxWindowSum(passed)
+					c.Check(got <= bound(perSecond), qt.IsTrue, qt.Commentf("seed %d: %.0f of %.0f", seed, got, bound(perSecond)))
+				}
+			})
+		}
+	}
+}
+
 // Hosts that receive no reports use equal shares, which add up to the limit.
 func TestHostsWithoutReportsStayWithinLimit(t *testing.T) {
 	c := qt.New(t)
