process/forward: repeats of a call on a split route share a fingerprint

A route may split its calls among services, and a configuration may move it. The fingerprint held the service, so that a request that crashes endpoints could crash three of each of them before it was stopped.

Cause: an oversight; the quarantine of calls itself does not ask for the service.

Change: the fingerprint is of organisation, method, host, target and body only. TestRepeatsOfACallAreLoggedWithOneFingerprint checks it and failed before.

--- a/internal/process/forward/fingerprint_test.go
+++ b/internal/process/forward/fingerprint_test.go
@@ -49,7 +49,14 @@
 	repeat := plainCall("o", "/a/b", "body")
 	repeat.ID = "2"
 	c.Check(logged(repeat), qt.Equals, first)
-	for _, other := range []*forward.Call{plainCall("p", "/a/b", "body"), plainCall("o", "/a/bb", "ody"), plainCall("o", "/a/b", "Body")} {
-		c.Check(logged(other), qt.Not(qt.Equals), first)
+	// A route may split its calls among services.
+	other := env.endpoints[0]
+	other.Host, other.Incarnation, other.Service = "s2", "s2", "s2"
+	env.balancer.SetEndpoints(append(env.endpoints, other))
+	elsewhere := plainCall("o", "/a/b", "body")
+	elsewhere.Service = &catalogue.Service{ID: "s2"}
+	c.Check(logged(elsewhere), qt.Equals, first)
+	for _, different := range []*forward.Call{plainCall("p", "/a/b", "body"), plainCall("o", "/a/bb", "ody"), plainCall("o", "/a/b", "Body")} {
+		c.Check(logged(different), qt.Not(qt.Equals), first)
 	}
 }
--- a/internal/process/forward/quarantine.go
+++ b/internal/process/forward/quarantine.go
@@ -25,14 +25,15 @@
 }
 
 // fingerprint identifies a call by what a repeat of it has in common with it: its
-// organisation, method, host, target and body. All hosts get the same one.
+// organisation, method, host, target and body. All hosts get the same one, and so do the
+// services among which a route's calls are split.
 func fingerprint(c *Call) quarantine.Fingerprint {
 	h := xxh3.New()
 	organisation := identity.Organisation("")
 	if c.Organisation != nil {
 		organisation = c.Organisation.ID
 	}
-	for _, field := range []string{string(c.Service.ID), string(organisation), c.Method, c.Host, c.Target} {
+	for _, field := range []string{string(organisation), c.Method, c.Host, c.Target} {
 		// The length keeps fields apart. A Hasher's Write returns no error.
 		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(field))))
 		_, _ = h.WriteString(field)
