process/quarantine: cut answers alone don't stop a call

Cause: a connection that broke off counted as a crash until its endpoint answered a later call. On a busy machine with few other calls three endpoints had not for 0.7 s. Chance is no excuse for calls, as it is for parts. Ruled out: the load alone; TestCutAnswersAreNoCrashes has none and failed before.

Change: a crash counts against a call only once a host could not reach the endpoint, or it is gone from the list or started again. Hosts tell each other. The tests that crash endpoints now also say that they are down, which is what a crash is.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -40,6 +40,9 @@
 	outstanding := k.f.balancer.Start(time.Now(), choice, k.call)
 	result, failure := k.exchange(ctx, choice, outstanding, progressTimer)
 	k.settleBudget(result)
+	if result == balance.Unreachable {
+		k.f.Quarantine.RecordDown(choice.Endpoint.Incarnation)
+	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errNoProgress) {
 		result = balance.Abandoned
 	}
--- a/internal/process/forward/repeat_test.go
+++ b/internal/process/forward/repeat_test.go
@@ -33,6 +33,15 @@
 	return call
 }
 
+// incarnations returns the endpoints that there are.
+func (env *testEnv) incarnations() map[identity.Incarnation]bool {
+	list := make(map[identity.Incarnation]bool)
+	for _, e := range env.endpoints {
+		list[e.Incarnation] = true
+	}
+	return list
+}
+
 // A request that crashes each endpoint that runs it comes again and again, with the same
 // organisation, target and body. It must not reach endpoint after endpoint, while sound
 // requests with the same organisation, target and prompt parts are served.
@@ -66,6 +75,7 @@
 				failure := send(newCall("o", "/a", "sound"))
 				c.Check(failure == nil, qt.IsTrue, qt.Commentf("sound call: %v", failure))
 				env.restart(crashed.list())
+				env.forwarder.Quarantine.RecordPresent(env.incarnations())
 				env.forwarder.Quarantine.Decide(map[identity.Service]int{"s": len(env.endpoints)}, 0)
 				time.Sleep(120 * time.Millisecond)
 			}
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -25,9 +25,13 @@
 
 // decideQuarantine quarantines prompt parts and calls that crash endpoints.
 func (g *Gateway) decideQuarantine() {
-	endpoints := make(map[identity.Service]int)
+	endpoints, present := make(map[identity.Service]int), make(map[identity.Incarnation]bool)
 	for _, e := range *g.endpoints.Load() {
 		endpoints[e.Service]++
+		present[e.Incarnation] = true
+	}
+	if g.mirror.Loaded(g.platform.EndpointPrefix) {
+		g.quarantine.RecordPresent(present)
 	}
 	settled := meshSettled
 	if g.neighbours.Relayed() {
--- a/internal/process/quarantine/calls.go
+++ b/internal/process/quarantine/calls.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
 const (
@@ -38,11 +40,12 @@
 
 // decideCalls quarantines the calls that crash endpoints. Crashes for which a
 // quarantined part accounts are no evidence against a call. Those for which another call
-// accounts are, as the wrong one of the two may have been quarantined first.
+// accounts are, as the wrong one of the two may have been quarantined first. An endpoint
+// that cuts its answers to a call, and is not known to be down, has not crashed.
 func (q *Quarantine) decideCalls(now time.Time, settled time.Duration) []Order {
 	crashes := make(map[Fingerprint][]time.Time)
 	for _, crash := range q.crashes {
-		if crash.survived() || crash.at().After(now.Add(-settled)) || q.explained(crash) {
+		if !crash.Down || crash.survived() || crash.at().After(now.Add(-settled)) || q.explained(crash) {
 			continue
 		}
 		for _, call := range crash.Calls {
@@ -68,6 +71,36 @@
 	return made
 }
 
+// RecordDown records that an endpoint could not be reached, so that one that broke off
+// calls before has crashed.
+func (q *Quarantine) RecordDown(endpoint identity.Incarnation) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.recordDown(endpoint)
+}
+
+func (q *Quarantine) recordDown(endpoint identity.Incarnation) {
+	known := q.crashes[endpoint]
+	if known == nil || known.Down || known.survived() {
+		return
+	}
+	down := Crash{Endpoint: endpoint, Service: known.Service, AtMillis: known.AtMillis, Down: true}
+	mergeCrash(q.observed, down)
+	mergeCrash(q.crashes, down)
+	q.lastNews = q.now()
+}
+
+// RecordPresent records which endpoints there are: the others are down.
+func (q *Quarantine) RecordPresent(present map[identity.Incarnation]bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for endpoint := range q.crashes {
+		if !present[endpoint] {
+			q.recordDown(endpoint)
+		}
+	}
+}
+
 // moments counts the times at which something happened, those at one moment as one.
 func moments(times []time.Time) int {
 	slices.SortFunc(times, time.Time.Compare)
--- a/internal/process/quarantine/calls_test.go
+++ b/internal/process/quarantine/calls_test.go
@@ -23,6 +23,7 @@
 	h.now = h.now.Add(500 * time.Millisecond)
 	h.crashes++
 	h.RecordCrash(callAttempt(fmt.Sprint("crashed", h.crashes), call))
+	h.RecordDown(identity.Incarnation(fmt.Sprint("crashed", h.crashes)))
 }
 
 func (h *host) stopsCall(call quarantine.Fingerprint) bool {
@@ -50,6 +51,22 @@
 	}
 }
 
+// Endpoints cut their answers to one call, and go on without a call of another kind that
+// would show it. The call must not be stopped until they are known to be down.
+func TestCutAnswersAreNoCrashes(t *testing.T) {
+	c := qt.New(t)
+	h := newHost()
+	for i := range 6 {
+		h.now = h.now.Add(500 * time.Millisecond)
+		h.RecordCrash(callAttempt(fmt.Sprint("e", i), 7))
+	}
+	h.decide()
+	c.Check(h.stopsCall(7), qt.IsFalse)
+	h.RecordPresent(map[identity.Incarnation]bool{"e0": true, "e1": true, "e2": true})
+	h.decide()
+	c.Check(h.stopsCall(7), qt.IsTrue)
+}
+
 // A call that is repeated often and mostly answered is not to blame for the crashes at
 // which it happened to be in progress, wherever it was answered.
 func TestAnsweredCallIsNotStopped(t *testing.T) {
@@ -76,6 +93,7 @@
 	h := newHost()
 	for i := range 12 {
 		h.RecordCrash(callAttempt(fmt.Sprint("e", i), 7))
+		h.RecordDown(identity.Incarnation(fmt.Sprint("e", i)))
 	}
 	h.now = h.now.Add(5 * time.Second)
 	h.decide()
@@ -138,6 +156,7 @@
 		c.Check(crash.Calls, qt.HasLen, 16)
 		c.Check(crash.Calls, qt.Contains, quarantine.Fingerprint(666_666))
 	}
+	h.RecordPresent(nil)
 	h.Decide(map[identity.Service]int{service: 12}, 0)
 	c.Check(h.stopsCall(666_666), qt.IsTrue)
 }
--- a/internal/process/quarantine/evidence.go
+++ b/internal/process/quarantine/evidence.go
@@ -40,6 +40,9 @@
 	// AnsweredMillis is when the endpoint answered a call that shows that it had not
 	// crashed before; zero if it has not.
 	AnsweredMillis int64 `json:"ok,omitempty"`
+	// Down is set once the endpoint could not be reached or was gone afterwards: without
+	// it, only answers may have been cut.
+	Down bool `json:"d,omitempty"`
 }
 
 // survived reports whether the endpoint has gone on, so that there was no crash.
@@ -259,7 +262,8 @@
 		return true
 	}
 	known.AtMillis = min(known.AtMillis, crash.AtMillis)
-	changed := known.mergeCalls(crash.Calls)
+	changed := known.mergeCalls(crash.Calls) || crash.Down && !known.Down
+	known.Down = known.Down || crash.Down
 	for part, inProgress := range crash.Parts {
 		if known.Parts[part] < inProgress {
 			known.Parts[part] = inProgress
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -29,7 +29,7 @@
 //
 // A call that comes again and again may crash endpoints by itself, whatever its parts. Its
 // repeats share a fingerprint. A call that was in progress at maxCallCrashes crashes
-// without an answer is quarantined on its own. As long as it may be the cause of the
+// without an answer is quarantined on its own, if the endpoints were down afterwards. As long as it may be the cause of the
 // crashes that speak against a part, the part is not quarantined.
 //
 // # Release
--- a/internal/process/quarantine/simulation_test.go
+++ b/internal/process/quarantine/simulation_test.go
@@ -260,6 +260,7 @@
 			s.inFlight = append(s.inFlight, report{s.now.Add(s.reportDelay), i, h.Evidence(false)})
 		}
 		if s.elapsed()%(200*time.Millisecond) == 0 {
+			h.RecordPresent(s.present())
 			for _, order := range h.Decide(map[identity.Service]int{service: len(s.endpoints)}, 2*(s.reportDelay+reportInterval)).Quarantined {
 				s.check(order)
 			}
@@ -267,6 +268,17 @@
 	}
 }
 
+// present returns the endpoints that are up.
+func (s *simulation) present() map[identity.Incarnation]bool {
+	up := make(map[identity.Incarnation]bool)
+	for _, e := range s.endpoints {
+		if s.now.After(e.downTill) {
+			up[e.incarnation()] = true
+		}
+	}
+	return up
+}
+
 // borne returns how many endpoints a part, or a call that is repeated, may crash.
 func (s *simulation) borne() int {
 	if s.repeatsPerSecond > 0 {
