process/gateway: connect to endpoints that seem to have crashed under a call

Cause: since a crash counts against a call only once its endpoint is known to be down. Calls avoid an endpoint that has failed, so none found it out of reach, and its entry stays in the store for seconds. Ruled out: lost reports, and the time until a crash is settled (0.7 s).

Change: a host that saw a crash connects to the endpoint once three crashes speak against a call, and takes a refused connection for the confirmation; at most one connection in half a second, without a request.

--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -46,6 +47,8 @@
 	// misdirected holds until when endpoints are not used because another one
 	// answered at their address.
 	misdirected map[identity.Incarnation]time.Time
+	// dialled holds when this host last connected to endpoints that seem to have crashed.
+	dialled map[identity.Incarnation]time.Time
 	// unreadable holds the revisions of values that could not be decoded, by key,
 	// so that each is logged once.
 	unreadable map[string]keyvalue.Revision
@@ -72,6 +75,7 @@
 		entries: make(map[string]entry), retained: make(map[string]retainedEndpoint),
 		leaving:     make(map[identity.Incarnation]time.Time),
 		misdirected: make(map[identity.Incarnation]time.Time),
+		dialled:     make(map[identity.Incarnation]time.Time),
 		unreadable:  make(map[string]keyvalue.Revision),
 	}
 }
@@ -358,6 +362,7 @@
 			delete(g.control.leaving, id)
 		}
 	}
+	maps.DeleteFunc(g.control.dialled, func(id identity.Incarnation, _ time.Time) bool { return !incarnations[id] })
 	for id, until := range g.control.misdirected {
 		if now.After(until) {
 			delete(g.control.misdirected, id)
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/connection/pause"
 	"github.com/dandelionlift/dandelionlift/internal/process/duty"
 	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -33,6 +36,7 @@
 	if g.mirror.Loaded(g.platform.EndpointPrefix) {
 		g.quarantine.RecordPresent(present)
 	}
+	g.checkCrashed(*g.endpoints.Load())
 	settled := meshSettled
 	if g.neighbours.Relayed() {
 		settled = relayedSettled
@@ -54,6 +58,32 @@
 	}
 }
 
+// dialTimeout limits a connection by which a host checks whether an endpoint has crashed:
+// many times the longest way there and back.
+const dialTimeout = 500 * time.Millisecond
+
+// checkCrashed connects to the endpoints that seem to have crashed under a call: calls avoid
+// them, and their entries stay in the store for seconds.
+func (g *Gateway) checkCrashed(endpoints []fleet.Endpoint) {
+	for _, id := range g.quarantine.Unconfirmed() {
+		i := slices.IndexFunc(endpoints, func(e fleet.Endpoint) bool { return e.Incarnation == id })
+		if i < 0 || g.control.dialled[id].After(time.Now().Add(-dialTimeout)) {
+			continue
+		}
+		g.control.dialled[id] = time.Now()
+		address := endpoints[i].Address.String()
+		g.group.Go(func() error {
+			conn, err := net.DialTimeout("tcp", address, dialTimeout)
+			if err != nil {
+				g.log.Info("endpoint_down", "endpoint", id, "error", err)
+				g.quarantine.RecordDown(id)
+				return nil
+			}
+			return conn.Close()
+		})
+	}
+}
+
 // hexParts returns the ids of parts as in the callers' headers.
 func hexParts(parts []quarantine.PartID) []string {
 	ids := make([]string, len(parts))
--- a/internal/process/quarantine/calls.go
+++ b/internal/process/quarantine/calls.go
@@ -90,6 +90,26 @@
 	q.lastNews = q.now()
 }
 
+// Unconfirmed returns the endpoints of which this host has seen a crash that counts against
+// a call only if they are down, where that would be enough to quarantine the call.
+func (q *Quarantine) Unconfirmed() []identity.Incarnation {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	counts := q.callCrashCounts()
+	var list []identity.Incarnation
+	for endpoint, crash := range q.observed {
+		known := q.crashes[endpoint]
+		if known == nil || known.Down || known.survived() {
+			continue
+		}
+		if slices.ContainsFunc(crash.Calls, func(call Fingerprint) bool { return counts[call] >= maxCallCrashes }) {
+			list = append(list, endpoint)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // RecordPresent records which endpoints there are: the others are down.
 func (q *Quarantine) RecordPresent(present map[identity.Incarnation]bool) {
 	q.mu.Lock()
--- a/internal/process/quarantine/calls_test.go
+++ b/internal/process/quarantine/calls_test.go
@@ -62,9 +62,11 @@
 	}
 	h.decide()
 	c.Check(h.stopsCall(7), qt.IsFalse)
+	c.Check(h.Unconfirmed(), qt.HasLen, 6)
 	h.RecordPresent(map[identity.Incarnation]bool{"e0": true, "e1": true, "e2": true})
 	h.decide()
 	c.Check(h.stopsCall(7), qt.IsTrue)
+	c.Check(h.Unconfirmed(), qt.DeepEquals, []identity.Incarnation{"e0", "e1", "e2"})
 }
 
 // A call that is repeated often and mostly answered is not to blame for the crashes at
