process/origin: streams are remembered for as long as routes let calls last

Found on reading the change: streams and the versions that began them were forgotten after 30 s.

Cause: a constant where the configuration says how long calls last.

Change: twice the longest timeout of a stream's route, 30 s at the least. TestLongCallsAreRemembered would fail with the constant.

--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -128,6 +128,7 @@
 	if current != nil && next.Version <= current.Version {
 		return
 	}
+	g.retainStreams(next)
 	g.catalogue.Store(next)
 	g.log.Info("configuration_in_force", "version", next.Version, "revision", item.Revision,
 		"routes", len(next.Routes), "organisations", len(next.Organisations))
--- a/internal/process/gateway/origins.go
+++ b/internal/process/gateway/origins.go
@@ -27,8 +27,6 @@
 	// write at most 200 times a second, half of what the smallest store allows.
 	minOriginInterval     = 250 * time.Millisecond
 	originIntervalPerHost = 5 * time.Millisecond
-	// streamsTTL is how long the streams of a killed host stay in the store.
-	streamsTTL = 2 * origin.Retention
 	// originTimeout limits one look for a stream in the store. Callers wait for it.
 	originTimeout = 500 * time.Millisecond
 )
@@ -41,6 +39,24 @@
 	lookups singleflight.Group
 }
 
+// streamRetention returns for how long streams must be remembered by the configuration.
+func streamRetention(c *catalogue.Catalogue) time.Duration {
+	longest := time.Duration(0)
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.Kind == catalogue.Stream {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return origin.Retention(longest)
+}
+
+// retainStreams remembers streams and versions for as long as the configuration requires.
+func (g *Gateway) retainStreams(c *catalogue.Catalogue) {
+	retention := streamRetention(c)
+	g.origins.streams.SetRetention(retention)
+	g.origins.versions.SetRetention(retention)
+}
+
 // originInterval returns the period of writing streams to the store.
 func (g *Gateway) originInterval() time.Duration {
 	return max(minOriginInterval, time.Duration(g.neighbours.HostCount(hostCountWindow))*originIntervalPerHost)
@@ -140,7 +156,12 @@
 			return err
 		}
 	}
-	lease, err := g.platform.Store.Grant(ctx, streamsTTL)
+	// The streams of a killed host stay for as long as it would have remembered them.
+	ttl := registrationRenewal + origin.Retention(0)
+	if c := g.Catalogue(); c != nil {
+		ttl = registrationRenewal + streamRetention(c)
+	}
+	lease, err := g.platform.Store.Grant(ctx, ttl)
 	if err != nil {
 		return err
 	}
--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -33,9 +33,12 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-// Retention is for how long origins and versions are remembered: longer than callers wait
-// for a stream, tries included.
-const Retention = 30 * time.Second
+// minRetention is for how long origins and versions are remembered at least.
+const minRetention = 30 * time.Second
+
+// Retention returns for how long origins and versions must be remembered, given the longest
+// that one call for a stream may take: callers may take a stream up at its end.
+func Retention(longestCall time.Duration) time.Duration { return max(minRetention, 2*longestCall) }
 
 // Origin is where a stream began.
 type Origin struct {
@@ -71,8 +74,9 @@
 type Streams struct {
 	now func() time.Time
 
-	mu     sync.Mutex
-	shards [Shards]map[key]began
+	mu        sync.Mutex
+	retention time.Duration
+	shards    [Shards]map[key]began
 	// changed holds the shards with streams that Document has not returned yet.
 	changed [Shards]bool
 }
@@ -87,7 +91,7 @@
 
 // NewStreams returns Streams without any stream.
 func NewStreams(options ...Option) *Streams {
-	s := &Streams{now: time.Now}
+	s := &Streams{now: time.Now, retention: minRetention}
 	for i := range s.shards {
 		s.shards[i] = make(map[key]began)
 	}
@@ -97,6 +101,13 @@
 	return s
 }
 
+// SetRetention sets for how long streams are remembered.
+func (s *Streams) SetRetention(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retention = d
+}
+
 // Record records that a request brings the first event of a stream.
 func (s *Streams) Record(id identity.Request, o Origin) {
 	k := keyOf(id)
@@ -112,7 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, found := s.shards[k.shard()][k]
-	return b.Origin, found && s.now().Sub(b.at) < Retention
+	return b.Origin, found && s.now().Sub(b.at) < s.retention
 }
 
 // Changed returns the shards with streams that Document has not returned yet.
@@ -167,7 +178,7 @@
 
 func (s *Streams) evict(shard Shard) {
 	now := s.now()
-	maps.DeleteFunc(s.shards[shard], func(_ key, b began) bool { return now.Sub(b.at) >= Retention })
+	maps.DeleteFunc(s.shards[shard], func(_ key, b began) bool { return now.Sub(b.at) >= s.retention })
 }
 
 // FindStored looks for the stream that a request began in the stored form of its shard.
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -73,7 +73,7 @@
 	clock := newClock()
 	s := origin.NewStreams(origin.WithClock(clock.now))
 	s.Record("1", origin.Origin{Service: "s", Software: "v1"})
-	clock.advance(origin.Retention)
+	clock.advance(origin.Retention(0))
 	s.Record("2", origin.Origin{Service: "s", Software: "v1"})
 	_, found := s.Find("1")
 	c.Check(found, qt.IsFalse)
@@ -86,6 +86,28 @@
 	c.Check(found, qt.IsTrue)
 }
 
+// Routes may allow calls of minutes: streams and versions are remembered for longer than
+// their callers wait.
+func TestLongCallsAreRemembered(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	const longest = 5 * time.Minute
+	s, v := origin.NewStreams(origin.WithClock(clock.now)), origin.NewVersions(clock.now)
+	s.SetRetention(origin.Retention(longest))
+	v.SetRetention(origin.Retention(longest))
+	s.Record("1", origin.Origin{Service: "s", Software: "v1"})
+	v.Observe(endpoints("v1", "v2"))
+	v.Observe(endpoints("v2"))
+	clock.advance(longest + time.Minute)
+	_, found := s.Find("1")
+	c.Check(found, qt.IsTrue)
+	c.Check(v.Several(), qt.IsTrue)
+	clock.advance(longest)
+	_, found = s.Find("1")
+	c.Check(found, qt.IsFalse)
+	c.Check(v.Several(), qt.IsFalse)
+}
+
 func endpoints(versions ...identity.Software) []fleet.Endpoint {
 	var list []fleet.Endpoint
 	for _, version := range versions {
@@ -112,7 +134,7 @@
 	clock.advance(time.Hour)
 	c.Check(recent(), qt.DeepEquals, []identity.Software{"v1", "v2"})
 	v.Observe(endpoints("v2"))
-	clock.advance(origin.Retention - time.Second)
+	clock.advance(origin.Retention(0) - time.Second)
 	c.Check(recent(), qt.DeepEquals, []identity.Software{"v1", "v2"})
 	c.Check(v.Several(), qt.IsTrue)
 	clock.advance(time.Second)
--- a/internal/process/origin/versions.go
+++ b/internal/process/origin/versions.go
@@ -16,7 +16,8 @@
 type Versions struct {
 	now func() time.Time
 
-	mu sync.Mutex
+	mu        sync.Mutex
+	retention time.Duration
 	// gone holds when the last endpoint of a version was gone, zero while there is one.
 	gone map[identity.Service]map[identity.Software]time.Time
 	// complete is set once what earlier processes knew has been merged.
@@ -26,7 +27,14 @@
 // NewVersions returns Versions without any. The clock should be one on which the hosts
 // agree.
 func NewVersions(now func() time.Time) *Versions {
-	return &Versions{now: now, gone: make(map[identity.Service]map[identity.Software]time.Time)}
+	return &Versions{now: now, retention: minRetention, gone: make(map[identity.Service]map[identity.Software]time.Time)}
+}
+
+// SetRetention sets for how long a version counts after its last endpoint is gone.
+func (v *Versions) SetRetention(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.retention = d
 }
 
 // Observe records the versions of the endpoints that there are now.
@@ -51,7 +59,9 @@
 	}
 }
 
-func (v *Versions) old(now, gone time.Time) bool { return !gone.IsZero() && now.Sub(gone) >= Retention }
+func (v *Versions) old(now, gone time.Time) bool {
+	return !gone.IsZero() && now.Sub(gone) >= v.retention
+}
 
 func (v *Versions) set(o Origin, gone time.Time) {
 	if v.gone[o.Service] == nil {
