process/origin: a stream without a request id is not remembered

Found on reading the change: streams of requests without an id were all remembered under the empty one, so that a caller that names no stream when it takes one up could have been sent to the version of another caller's stream.

TestStreamWithoutAnIDIsNotFound would fail before.

--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -108,8 +108,12 @@
 	s.retention = d
 }
 
-// Record records that a request brings the first event of a stream.
+// Record records that a request brings the first event of a stream. A stream without an id
+// can't be told from others.
 func (s *Streams) Record(id identity.Request, o Origin) {
+	if id == "" {
+		return
+	}
 	k := keyOf(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -86,6 +86,17 @@
 	c.Check(found, qt.IsTrue)
 }
 
+// A request without an id names no stream: what one caller began must not be found for
+// another one.
+func TestStreamWithoutAnIDIsNotFound(t *testing.T) {
+	c := qt.New(t)
+	s := origin.NewStreams()
+	s.Record("", origin.Origin{Service: "s", Software: "v1"})
+	_, found := s.Find("")
+	c.Check(found, qt.IsFalse)
+	c.Check(s.Changed(), qt.HasLen, 0)
+}
+
 // Routes may allow calls of minutes: streams and versions are remembered for longer than
 // their callers wait.
 func TestLongCallsAreRemembered(t *testing.T) {
