process/gateway: the period of writing streams follows the store's limit

The period grew by 5 ms a host, from the 400 writes a second of the smallest store. The settings say what the store takes; a store with a higher limit left streams unknown for longer than needed after a kill, one with a lower limit would have been overrun.

Change: the streams of all hosts together use at most half of the store's writes, and are written each 250 ms at the most: at 295 hosts and 3,200 writes in place of each 1.5 s (computed, not played).

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -70,6 +70,9 @@
 	// QuotaSlack is by how many units the calls of an organisation may exceed its
 	// limit in a window.
 	QuotaSlack float64
+	// StoreWritesPerSecond is how many writes the store takes from all hosts; zero if
+	// unlimited.
+	StoreWritesPerSecond float64
 	// ReappearTimeout is how long endpoints whose entries expired during a store outage
 	// may take to register again once the store is back.
 	ReappearTimeout time.Duration
--- a/internal/process/gateway/origins.go
+++ b/internal/process/gateway/origins.go
@@ -22,11 +22,11 @@
 	// record of software versions, and each host's streams, by shard.
 	versionsKey   = "dandelionlift/versions"
 	streamsPrefix = "dandelionlift/streams/"
-	// minOriginInterval is the shortest period of writing streams to the store, and
-	// originIntervalPerHost its increase with the number of hosts: all hosts together
-	// write at most 200 times a second, half of what the smallest store allows.
-	minOriginInterval     = 250 * time.Millisecond
-	originIntervalPerHost = 5 * time.Millisecond
+	// minOriginInterval is the shortest period of writing streams to the store.
+	minOriginInterval = 250 * time.Millisecond
+	// originWriteShare is the share of the store's writes that the streams of all hosts
+	// together may use.
+	originWriteShare = 0.5
 	// originTimeout limits one look for a stream in the store. Callers wait for it.
 	originTimeout = 500 * time.Millisecond
 )
@@ -59,7 +59,11 @@
 
 // originInterval returns the period of writing streams to the store.
 func (g *Gateway) originInterval() time.Duration {
-	return max(minOriginInterval, time.Duration(g.neighbours.HostCount(hostCountWindow))*originIntervalPerHost)
+	if g.bounds.StoreWritesPerSecond <= 0 {
+		return minOriginInterval
+	}
+	seconds := float64(g.neighbours.HostCount(hostCountWindow)) / (g.bounds.StoreWritesPerSecond * originWriteShare)
+	return max(minOriginInterval, time.Duration(seconds*float64(time.Second)))
 }
 
 // runOrigins writes the versions, on the leader, and this host's streams to the store.
