process/gateway: record a software version before it begins streams

Callers got texts joined from two software versions.

Cause: a host trusted its copy of the endpoints when it knew one version alone. It only noticed that the copy was old when a watch of up to 4 s had failed and no neighbour's report was valid any more; one that stood still noticed nothing. The same, smaller, held for the 0.4 s by which hosts in step hear of a new version one after the other. The class: a decision from a cached view with no bound on its age.

A host now reads the record of versions in the store before it goes on with a stream that it has not begun, and endpoints of a new version begin streams only once the record contains it (at most 3 s, and only beside another ready version). So the record names every version at which streams can have begun, and no bound on the age of copies is needed. The record is written under a condition, as any host may write it now when the leader does not. While the store answers nobody, streams of the only version go on if most hosts report that they know no more.

The tests of a host that missed a version, of one that is cut off, of new versions and of a missing leader failed before.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -244,8 +244,14 @@
 	return limited, quiet
 }
 
-// allows reports whether an endpoint's software may serve the call.
-func (c *Call) allows(e fleet.Endpoint) bool { return c.Software == nil || e.Software == *c.Software }
+// allows reports whether an endpoint's software may serve the call. A stream that goes on
+// has begun at its version already.
+func (c *Call) allows(e fleet.Endpoint) bool {
+	if c.Software == nil {
+		return !e.Held
+	}
+	return e.Software == *c.Software
+}
 
 // Serves reports whether a service has an endpoint that runs the given software and is not
 // leaving.
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -55,6 +55,8 @@
 	// era is that of the endpoints' latest copy.
 	era         keyvalue.Era
 	lastFailure time.Time
+	// held is how many of the published endpoints are held, which ends by itself.
+	held int
 	// saidLeaving is how many endpoints had said that they are leaving at the last sweep.
 	saidLeaving int
 	lastSweep   time.Time
@@ -255,6 +257,11 @@
 	for _, kept := range g.control.retained {
 		published = append(published, g.withLocalState(now, kept.endpoint))
 	}
+	g.origins.versions.Observe(published)
+	if held := g.holdUnrecorded(published); held != g.control.held {
+		g.control.held = held
+		g.log.Info("endpoints_held", "count", held)
+	}
 	slices.SortFunc(published, func(a, b fleet.Endpoint) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	leaving := make([]identity.Incarnation, 0, len(g.control.leaving))
 	for id := range g.control.leaving {
@@ -262,7 +269,6 @@
 	}
 	g.balancer.SetEndpoints(published)
 	g.endpoints.Store(&published)
-	g.origins.versions.Observe(published)
 	g.leaving.Store(&leaving)
 	g.updateIdleLimits()
 }
@@ -313,6 +319,9 @@
 	if gone {
 		g.reloadEndpoints(now)
 	}
+	if g.control.held > 0 {
+		g.publish(now)
+	}
 	if now.Sub(g.control.lastSweep) > sweepInterval {
 		g.control.lastSweep = now
 		if g.sweep(now) {
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,12 +45,17 @@
 	written map[string]map[keyvalue.Era]int
 	// listsOwn makes ranges contain the system's own keys, too.
 	listsOwn bool
+	// readOnly is the key whose writes fail, if any.
+	readOnly string
 }
 
 // commit executes a transaction of the system itself.
 func (s *fakeStore) commit(_ context.Context, t keyvalue.Transaction) (keyvalue.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down || slices.ContainsFunc(t.Writes, func(w keyvalue.Entry) bool { return w.Key == s.readOnly }) {
+		return 0, keyvalue.ErrUnavailable
+	}
 	for _, c := range t.Conditions {
 		if s.own[c.Key].Revision != c.Revision {
 			return 0, keyvalue.ErrConflict
@@ -71,6 +77,8 @@
 	defer s.mu.Unlock()
 	value, found := s.own[key]
 	switch {
+	case s.down:
+		return keyvalue.Value{}, keyvalue.ErrUnavailable
 	case s.getErr != nil:
 		return keyvalue.Value{}, s.getErr
 	case !found:
--- a/internal/process/gateway/origins.go
+++ b/internal/process/gateway/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -14,6 +15,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/origin"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
@@ -29,6 +31,13 @@
 	originWriteShare = 0.5
 	// originTimeout limits one look for a stream in the store. Callers wait for it.
 	originTimeout = 500 * time.Millisecond
+	// maxReportAge and maxAggregateAge limit the age of others' reports that tell what may
+	// have changed in the store: each is two periods of sending.
+	maxReportAge    = 500 * time.Millisecond
+	maxAggregateAge = 1500 * time.Millisecond
+	// recordDelay is how long the leader has for recording a new software version before
+	// another host does, after up to as long again at random.
+	recordDelay = 750 * time.Millisecond
 )
 
 // originState is what a host knows of where streams began.
@@ -66,16 +75,14 @@
 	return max(minOriginInterval, time.Duration(seconds*float64(time.Second)))
 }
 
-// runOrigins writes the versions, on the leader, and this host's streams to the store.
+// runOrigins keeps the record of versions and writes this host's streams to the store.
 // Streams are written only while a service has several versions.
 func (g *Gateway) runOrigins(ctx context.Context) error {
 	var versions storedVersions
 	var streams storedStreams
 	for pause.For(ctx, g.originInterval()) {
 		g.origins.streams.Evict()
-		if _, leads := g.elector.Fence(); leads {
-			versions.write(ctx, g)
-		}
+		versions.keep(ctx, g)
 		if !g.origins.versions.Several() {
 			continue
 		}
@@ -86,25 +93,72 @@
 	return nil
 }
 
-// storedVersions is what this host has last written as the leader.
+// storedVersions is the record of versions that this host has last written or read.
 type storedVersions struct {
-	data string
-	era  keyvalue.Era
+	data     string
+	revision keyvalue.Revision
 }
 
-func (s *storedVersions) write(ctx context.Context, g *Gateway) {
-	data, err := g.origins.versions.Document()
-	if era := g.storeEra(); err != nil || string(data) == s.data && era == s.era {
-		return
-	}
+// keep writes the record on the leader. Other hosts read it while it lacks a version, and
+// write it in place of a leader that does not.
+func (s *storedVersions) keep(ctx context.Context, g *Gateway) {
 	ctx, cancel := context.WithTimeout(ctx, duty.CallTimeout)
 	defer cancel()
-	revision, err := g.platform.Store.Commit(ctx, keyvalue.Transaction{Writes: []keyvalue.Entry{{Key: versionsKey, Data: data}}})
-	if err != nil {
-		g.log.Info("versions_not_stored", "error", err)
+	if _, leads := g.elector.Fence(); !leads && !s.mustStandIn(ctx, g) {
 		return
 	}
-	s.data, s.era = string(data), revision.Era()
+	if err := s.write(ctx, g); err != nil {
+		g.log.Info("versions_not_stored", "error", err)
+	}
+}
+
+// mustStandIn reports whether a version is still not recorded after the leader had the time
+// to do so.
+func (s *storedVersions) mustStandIn(ctx context.Context, g *Gateway) bool {
+	if _, unrecorded := g.origins.versions.Unrecorded(); !unrecorded {
+		return false
+	}
+	if err := s.read(ctx, g); err != nil {
+		g.log.Info("versions_not_read", "error", err)
+		return false
+	}
+	since, unrecorded := g.origins.versions.Unrecorded()
+	return unrecorded && g.clock.Now().Sub(since) >= recordDelay+rand.N(recordDelay)
+}
+
+// read reads the record and merges it.
+func (s *storedVersions) read(ctx context.Context, g *Gateway) error {
+	value, err := g.readVersions(ctx)
+	if err == nil {
+		s.data, s.revision = string(value.Data), value.Revision
+	}
+	return err
+}
+
+// write writes the record if it has changed. Another host may have written it meanwhile,
+// with versions of which this one has not heard.
+func (s *storedVersions) write(ctx context.Context, g *Gateway) error {
+	for {
+		data, err := g.origins.versions.Document()
+		if err != nil || string(data) == s.data && g.storeEra() == s.revision.Era() {
+			return err
+		}
+		revision, err := g.platform.Store.Commit(ctx, keyvalue.Transaction{
+			Conditions: []keyvalue.Condition{{Key: versionsKey, Revision: s.revision}},
+			Writes:     []keyvalue.Entry{{Key: versionsKey, Data: data}},
+		})
+		if errors.Is(err, keyvalue.ErrConflict) || errors.Is(err, keyvalue.ErrRestored) {
+			if err := s.read(ctx, g); err != nil {
+				return err
+			}
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		s.data, s.revision = string(data), revision
+		return g.mergeVersions(data)
+	}
 }
 
 // storedStreams is the lease under which this host writes its streams.
@@ -181,16 +235,74 @@
 	return streamsPrefix + digits[shard:shard+1] + "/"
 }
 
-// readVersions reads the versions that earlier processes knew.
-func (g *Gateway) readVersions(ctx context.Context) error {
+// readVersions reads the record of versions and merges it.
+func (g *Gateway) readVersions(ctx context.Context) (keyvalue.Value, error) {
 	value, err := g.platform.Store.Get(ctx, versionsKey)
 	if err != nil && !errors.Is(err, keyvalue.ErrAbsent) {
-		return err
+		return value, err
 	}
-	if err := g.origins.versions.Merge(value.Data); err != nil {
+	if err := g.mergeVersions(value.Data); err != nil {
 		g.log.Warn("versions_unreadable", "revision", value.Revision, "error", err)
 	}
-	return nil
+	return value, nil
+}
+
+// mergeVersions merges the record of versions, and ends the holding of endpoints whose
+// version it contains.
+func (g *Gateway) mergeVersions(data []byte) error {
+	_, before := g.origins.versions.Unrecorded()
+	err := g.origins.versions.Merge(data)
+	if _, after := g.origins.versions.Unrecorded(); before && !after {
+		g.onMirrorChange(g.platform.EndpointPrefix)
+	}
+	return err
+}
+
+// confirmVersions reads the record of versions by a call that began after this one.
+func (g *Gateway) confirmVersions(ctx context.Context) error {
+	for joined := false; ; joined = true {
+		executed := false
+		_, err, _ := g.origins.lookups.Do(versionsKey, func() (any, error) {
+			executed = true
+			// The read is not that of one caller only, who may leave.
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), originTimeout)
+			defer cancel()
+			_, err := g.readVersions(ctx)
+			return nil, err
+		})
+		// The first read that a caller joins may have begun before it, the second can't.
+		if executed || joined {
+			return err
+		}
+	}
+}
+
+// holdUnrecorded sets Held on the endpoints that should not begin streams yet, and counts
+// them. It concerns services whose streams may be resumed.
+func (g *Gateway) holdUnrecorded(endpoints []fleet.Endpoint) int {
+	c := g.Catalogue()
+	if c == nil {
+		return 0
+	}
+	resumed := make(map[identity.Service]bool)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		for _, target := range r.Targets {
+			resumed[target.Service] = resumed[target.Service] || r.Kind == catalogue.Stream && r.Resumable
+		}
+	}
+	held, count := make(map[origin.Origin]bool), 0
+	for i := range endpoints {
+		e := &endpoints[i]
+		o := origin.Origin{Service: e.Service, Software: e.Software}
+		if _, known := held[o]; !known && resumed[e.Service] {
+			held[o] = g.origins.versions.Held(o)
+		}
+		if e.Held = held[o]; e.Held {
+			count++
+		}
+	}
+	return count
 }
 
 // findOrigin returns the service and software version at which the stream began that a
@@ -198,11 +310,16 @@
 // early from a whole one, but not a text that two versions wrote.
 func (g *Gateway) findOrigin(ctx context.Context, c *forward.Call) (*catalogue.Service, identity.Software, *verdict.Error) {
 	o, found := g.origins.streams.Find(c.Resumes)
+	source := "own"
+	var err error
 	if !found {
-		o, found = g.onlyOrigin(c)
+		source = "only version"
+		if err = g.confirmVersions(ctx); err == nil || g.agreesWithOthers(time.Now()) {
+			o, found = g.onlyOrigin(c)
+		}
 	}
-	var err error
-	if !found && c.Resumes != "" {
+	if !found && err == nil && c.Resumes != "" {
+		source = "store"
 		o, found, err = g.findStored(ctx, c.Resumes)
 	}
 	if !found {
@@ -213,6 +330,8 @@
 		}
 		return nil, "", failure
 	}
+	g.log.Info("stream_origin_found", "request", c.ID, "resumes", c.Resumes, "service", o.Service, "software", o.Software, "source", source,
+		"endpoints_revision", g.mirror.LatestRevision(g.platform.EndpointPrefix), "error", err)
 	service, known := g.Catalogue().Service(o.Service)
 	if !known || !c.Route.Leads(o.Service) {
 		return nil, "", verdict.New(verdict.NotRun, verdict.StreamVersionGone, string(o.Service))
@@ -223,9 +342,6 @@
 // onlyOrigin returns the origin of a stream if all services to which the call's route
 // leads have had one software version lately.
 func (g *Gateway) onlyOrigin(c *forward.Call) (origin.Origin, bool) {
-	if g.isolated() {
-		return origin.Origin{}, false
-	}
 	only := origin.Origin{Service: c.Service.ID}
 	for _, target := range c.Route.Targets {
 		list, complete := g.origins.versions.Recent(target.Service)
@@ -239,10 +355,25 @@
 	return only, true
 }
 
-// isolated reports whether versions may have been added of which this host has not heard:
-// it hears neither the store nor the other hosts.
-func (g *Gateway) isolated() bool {
-	return g.storeFailing() && len(*g.heardReports.Load()) == 0 && g.neighbours.HostCount(hostCountWindow) > 1
+// agreesWithOthers reports whether most hosts have lately told that they know of no later
+// change of the endpoints than this one. Otherwise, when the store does not answer, it may
+// answer others, and have told them of new versions.
+func (g *Gateway) agreesWithOthers(now time.Time) bool {
+	own := g.mirror.LatestRevision(g.platform.EndpointPrefix)
+	hosts := 1
+	for _, h := range g.neighbours.HeardReports() {
+		if h.Revisions[g.platform.EndpointPrefix] > own {
+			return false
+		}
+		maxAge := maxReportAge
+		if h.Hosts > 0 {
+			maxAge = maxAggregateAge
+		}
+		if now.Sub(h.ReceivedAt) <= maxAge {
+			hosts += h.HostCount()
+		}
+	}
+	return 2*hosts > g.neighbours.HostCount(hostCountWindow)
 }
 
 // findStored looks for a stream in the store. What has just begun may not have been
--- a/internal/process/gateway/origins_test.go
+++ b/internal/process/gateway/origins_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
 	"github.com/dandelionlift/dandelionlift/internal/process/forward"
 	"github.com/dandelionlift/dandelionlift/internal/process/gateway"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
@@ -18,27 +23,60 @@
 // startVersions runs a gateway over a store in which an endpoint's entry is its software
 // version, and waits until the gateway has as many endpoints as the store.
 func startVersions(c *qt.C, s *fakeStore) *gateway.Gateway {
+	g, _ := startVersionsOver(c, s, s.client())
+	return g
+}
+
+// startVersionsOver is startVersions with a client of the store and neighbours.
+func startVersionsOver(c *qt.C, s *fakeStore, client keyvalue.Store, neighbours ...netip.AddrPort) (*gateway.Gateway, netip.AddrPort) {
 	s.mu.Lock()
 	s.getErr, s.listsOwn = nil, true
 	count := len(s.values) - 1
 	s.mu.Unlock()
-	g, _ := startPlatform(c, gateway.Platform{
-		Store: s.client(), ConfigurationKey: "configuration", EndpointPrefix: "endpoints/",
+	g, address := startPlatform(c, gateway.Platform{
+		Store: client, ConfigurationKey: "configuration", EndpointPrefix: "endpoints/",
 		DecodeCatalogue: func([]byte) (*catalogue.Catalogue, error) {
-			return catalogue.New(catalogue.Catalogue{Version: 1, Services: []catalogue.Service{{ID: "s"}, {ID: "other"}}}), nil
+			return catalogue.New(catalogue.Catalogue{
+				Version: 1, Services: []catalogue.Service{{ID: "s"}, {ID: "other"}},
+				Routes: []catalogue.Route{{Kind: catalogue.Stream, Resumable: true, Targets: []catalogue.Target{{Service: "s", Weight: 1}}}},
+			}), nil
 		},
 		DecodeEndpoint: func(key string, data []byte) (fleet.Endpoint, error) {
 			return fleet.Endpoint{Host: identity.Host(key), Incarnation: identity.Incarnation(key), Service: "s", Zone: "z", Slots: 1, Software: identity.Software(data)}, nil
 		},
-	})
-	for range 400 {
-		if len(g.Endpoints()) == count && g.Catalogue() != nil {
-			return g
+	}, neighbours...)
+	waitUntil(c, "the endpoints are known", func() bool { return len(g.Endpoints()) == count && g.Catalogue() != nil })
+	return g, address
+}
+
+// waitUntil waits until a condition holds.
+func waitUntil(c *qt.C, what string, condition func() bool) {
+	c.Helper()
+	for range 600 {
+		if condition() {
+			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	c.Fatal("the endpoints are not known")
-	return nil
+	c.Fatalf("not met: %s", what)
+}
+
+// held returns the software versions whose endpoints should not begin streams yet.
+func held(g *gateway.Gateway) []identity.Software {
+	var list []identity.Software
+	for _, e := range g.Endpoints() {
+		if e.Held {
+			list = append(list, e.Software)
+		}
+	}
+	return list
+}
+
+// recorded reports whether the store's record of versions contains one.
+func (s *fakeStore) recorded(software string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Contains(string(s.own["dandelionlift/versions"].Data), strconv.Quote(software))
 }
 
 func storeWithVersions(versions ...string) *fakeStore {
@@ -149,3 +187,129 @@
 	s.waitForWrite(c, "dandelionlift/streams/", 1)
 	waitForOrigin(c, startVersions(c, s), "one", "v1")
 }
+
+// A host stood still, or its watch of the store hangs and no other host tells it, while
+// endpoints of a new version joined. A stream that began there through another host must not go on at the only version
+// that this host has heard of.
+func TestStreamDoesNotGoOnAtAHostThatMissedItsVersion(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v1")
+	first := startVersions(c, s)
+	client := s.client()
+	client.Changes = func(ctx context.Context, _ string, _ keyvalue.Revision, _ time.Duration) (keyvalue.Changes, error) {
+		<-ctx.Done()
+		return keyvalue.Changes{}, ctx.Err()
+	}
+	list := client.Range
+	client.Range = func(ctx context.Context, prefix string) (keyvalue.Listing, error) {
+		if prefix == "dandelionlift/hosts/" {
+			return keyvalue.Listing{}, nil
+		}
+		return list(ctx, prefix)
+	}
+	behind, _ := startVersionsOver(c, s, client)
+	waitForOrigin(c, behind, "unknown", "v1")
+	s.set("endpoints/c", "v2")
+	waitUntil(c, "v2 begins streams", func() bool { return len(first.Endpoints()) == 3 && len(held(first)) == 0 })
+	begin(first, "one", "v1")
+	begin(first, "two", "v2")
+	c.Assert(behind.Endpoints(), qt.HasLen, 2)
+	software, failure := resume(behind, "two")
+	c.Assert(failure == nil, qt.IsTrue)
+	c.Assert(software, qt.Equals, identity.Software("v2"))
+	waitForOrigin(c, behind, "one", "v1")
+}
+
+// A host is cut off from the store and from the others. Its connections hang, so that it
+// has no failure to go by when callers take streams up.
+func TestStreamDoesNotGoOnAtAHostThatIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v1")
+	var cut atomic.Bool
+	client := s.client()
+	list, watch, get := client.Range, client.Changes, client.Get
+	hang := func(ctx context.Context) error {
+		if !cut.Load() {
+			return nil
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	client.Range = func(ctx context.Context, prefix string) (keyvalue.Listing, error) {
+		if err := hang(ctx); err != nil {
+			return keyvalue.Listing{}, err
+		}
+		return list(ctx, prefix)
+	}
+	client.Changes = func(ctx context.Context, prefix string, after keyvalue.Revision, wait time.Duration) (keyvalue.Changes, error) {
+		if err := hang(ctx); err != nil {
+			return keyvalue.Changes{}, err
+		}
+		return watch(ctx, prefix, after, wait)
+	}
+	client.Get = func(ctx context.Context, key string) (keyvalue.Value, error) {
+		if err := hang(ctx); err != nil {
+			return keyvalue.Value{}, err
+		}
+		return get(ctx, key)
+	}
+	silent := freeAddress(c)
+	g, _ := startVersionsOver(c, s, client, silent)
+	waitForOrigin(c, g, "unknown", "v1")
+	cut.Store(true)
+	began := time.Now()
+	_, failure := resume(g, "unknown")
+	c.Assert(failure != nil, qt.IsTrue)
+	c.Check(failure.Reason, qt.Equals, verdict.StreamOriginUnknown)
+	c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
+	c.Check(time.Since(began) < time.Second, qt.IsTrue)
+}
+
+// The store is down for all hosts, so that none can have heard of a new version: streams of
+// the only one go on.
+func TestStreamGoesOnWhileTheStoreIsDownForAllHosts(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v1")
+	first, address := startVersionsOver(c, s, s.client())
+	second, _ := startVersionsOver(c, s, s.client(), address)
+	waitForOrigin(c, first, "unknown", "v1")
+	s.setDown(true)
+	time.Sleep(time.Second)
+	waitForOrigin(c, first, "unknown", "v1")
+	waitForOrigin(c, second, "unknown", "v1")
+}
+
+// Hosts learn of a new version one after the other. Its endpoints begin no stream until all
+// can know it, but not for ever while the store takes no writes.
+func TestNewVersionBeginsNoStreamBeforeItIsRecorded(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1")
+	g := startVersions(c, s)
+	waitUntil(c, "v1 is recorded", func() bool { return s.recorded("v1") })
+	s.mu.Lock()
+	s.readOnly = "dandelionlift/versions"
+	s.mu.Unlock()
+	s.set("endpoints/b", "v2")
+	waitUntil(c, "v2 is known", func() bool { return len(g.Endpoints()) == 2 })
+	c.Assert(held(g), qt.DeepEquals, []identity.Software{"v2"})
+	waitUntil(c, "v2 is used all the same", func() bool { return len(held(g)) == 0 })
+	s.mu.Lock()
+	s.readOnly = ""
+	s.mu.Unlock()
+	waitUntil(c, "v2 is recorded", func() bool { return s.recorded("v2") })
+	s.set("endpoints/c", "v3")
+	waitUntil(c, "v3 is used once it is recorded", func() bool {
+		recorded := s.recorded("v3")
+		c.Assert(recorded || len(g.Endpoints()) < 3 || len(held(g)) == 1, qt.IsTrue)
+		return recorded && len(g.Endpoints()) == 3 && len(held(g)) == 0
+	})
+}
+
+// Without a leader another host records a new version.
+func TestNewVersionIsRecordedWithoutALeader(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v2")
+	s.readOnly = "dandelionlift/duty"
+	startVersions(c, s)
+	waitUntil(c, "both versions are recorded", func() bool { return s.recorded("v1") && s.recorded("v2") })
+}
--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -11,7 +11,10 @@
 //
 // Mostly all endpoints of a service run one version, and have done so for longer than
 // streams last. Versions holds which ones have served lately; with a single one nothing
-// else need be known.
+// else need be known. A host that was cut off or stood still may not have heard of a new
+// version. So the versions are recorded in the store: endpoints of a new one begin streams
+// only once the record contains it, and a host that has not begun a stream reads the record
+// before it goes on with it.
 //
 // # Several versions
 //
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -178,3 +178,48 @@
 		c.Check(list, qt.DeepEquals, []identity.Software{"v1", "v2"})
 	}
 }
+
+// A host that was cut off knows an old version only. Endpoints of a new one must not begin
+// streams before the record, which such a host reads, contains it.
+func TestNewVersionIsHeldUntilItIsRecorded(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	v1, v2 := origin.Origin{Service: "s", Software: "v1"}, origin.Origin{Service: "s", Software: "v2"}
+	v := origin.NewVersions(clock.now)
+	v.Observe(endpoints("v1", "v1"))
+	_, unrecorded := v.Unrecorded()
+	c.Check(v.Held(v1) || unrecorded, qt.IsFalse)
+	clock.advance(time.Minute)
+	v.Observe(endpoints("v1", "v2"))
+	since, unrecorded := v.Unrecorded()
+	c.Check(unrecorded, qt.IsTrue)
+	c.Check(since, qt.Equals, clock.now().Add(-time.Minute))
+	c.Check(v.Held(v1), qt.IsFalse)
+	c.Check(v.Held(v2), qt.IsTrue)
+	c.Assert(v.Merge([]byte(`{"s":{"v1":0}}`)), qt.IsNil)
+	c.Check(v.Held(v2), qt.IsTrue)
+	c.Assert(v.Merge([]byte(`{"s":{"v1":0,"v2":0}}`)), qt.IsNil)
+	_, unrecorded = v.Unrecorded()
+	c.Check(v.Held(v2) || unrecorded, qt.IsFalse)
+}
+
+// Holding a version must not leave a service without endpoints: not if no other version is
+// ready, nor if it is not known which is the new one, nor if nothing can be recorded.
+func TestHeldVersionIsUsedWithoutAnother(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	v1, v2 := origin.Origin{Service: "s", Software: "v1"}, origin.Origin{Service: "s", Software: "v2"}
+	v := origin.NewVersions(clock.now)
+	v.Observe(endpoints("v1", "v2"))
+	c.Check(v.Held(v1) || v.Held(v2), qt.IsFalse)
+	c.Assert(v.Merge([]byte(`{"s":{"v1":0}}`)), qt.IsNil)
+	c.Check(v.Held(v2), qt.IsTrue)
+	leaving := endpoints("v1", "v2")
+	leaving[0].Leaving = true
+	v.Observe(leaving)
+	c.Check(v.Held(v2), qt.IsFalse)
+	v.Observe(endpoints("v1", "v2"))
+	c.Check(v.Held(v2), qt.IsTrue)
+	clock.advance(3 * time.Second)
+	c.Check(v.Held(v2), qt.IsFalse)
+}
--- a/internal/process/origin/versions.go
+++ b/internal/process/origin/versions.go
@@ -11,6 +11,10 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
+// maxHold is for how long a version waits to be recorded. It is longer than another leader
+// takes to act; a store that takes no writes must not keep endpoints idle for longer.
+const maxHold = 3 * time.Second
+
 // Versions holds which software versions have served lately, by service. Create one with
 // NewVersions.
 type Versions struct {
@@ -20,14 +24,29 @@
 	retention time.Duration
 	// gone holds when the last endpoint of a version was gone, zero while there is one.
 	gone map[identity.Service]map[identity.Software]time.Time
+	// present holds the versions that have endpoints, as last observed.
+	present map[Origin]presence
+	// recorded holds the versions that the record is known to contain.
+	recorded map[Origin]bool
 	// complete is set once what earlier processes knew has been merged.
 	complete bool
 }
 
+// presence describes a version that has endpoints.
+type presence struct {
+	// since is when the first endpoint was observed.
+	since time.Time
+	// ready is set if one of them is not leaving.
+	ready bool
+}
+
 // NewVersions returns Versions without any. The clock should be one on which the hosts
 // agree.
 func NewVersions(now func() time.Time) *Versions {
-	return &Versions{now: now, retention: minRetention, gone: make(map[identity.Service]map[identity.Software]time.Time)}
+	return &Versions{
+		now: now, retention: minRetention, gone: make(map[identity.Service]map[identity.Software]time.Time),
+		present: make(map[Origin]presence), recorded: make(map[Origin]bool),
+	}
 }
 
 // SetRetention sets for how long a version counts after its last endpoint is gone.
@@ -39,19 +58,30 @@
 
 // Observe records the versions of the endpoints that there are now.
 func (v *Versions) Observe(endpoints []fleet.Endpoint) {
-	present := make(map[Origin]bool, len(endpoints))
-	for i := range endpoints {
-		present[Origin{endpoints[i].Service, endpoints[i].Software}] = true
-	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
+	present := make(map[Origin]presence)
+	for i := range endpoints {
+		e := &endpoints[i]
+		o := Origin{e.Service, e.Software}
+		p, found := present[o]
+		if !found {
+			p.since = now
+			if before, known := v.present[o]; known {
+				p.since = before.since
+			}
+		}
+		p.ready = p.ready || !e.Leaving
+		present[o] = p
+	}
+	v.present = present
 	for o := range present {
 		v.set(o, time.Time{})
 	}
 	for service, bySoftware := range v.gone {
 		for software, gone := range bySoftware {
-			if gone.IsZero() && !present[Origin{service, software}] {
+			if _, found := present[Origin{service, software}]; gone.IsZero() && !found {
 				bySoftware[software] = now
 			}
 		}
@@ -59,6 +89,40 @@
 	}
 }
 
+// Held reports whether an endpoint of a version should not begin streams yet: the version
+// is not recorded, and one that serves already is ready.
+func (v *Versions) Held(o Origin) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	since := v.present[o].since
+	if v.recorded[o] || v.now().Sub(since) >= maxHold {
+		return false
+	}
+	for other, p := range v.present {
+		if other.Service == o.Service && other != o && p.ready && (v.recorded[other] || p.since.Before(since)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Unrecorded returns since when a service has had endpoints of a version that is not
+// recorded, beside those of another one. It returns false if there is no such service.
+func (v *Versions) Unrecorded() (since time.Time, found bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	count := make(map[identity.Service]int)
+	for o := range v.present {
+		count[o.Service]++
+	}
+	for o, p := range v.present {
+		if !v.recorded[o] && count[o.Service] > 1 && (!found || p.since.Before(since)) {
+			since, found = p.since, true
+		}
+	}
+	return since, found
+}
+
 func (v *Versions) old(now, gone time.Time) bool {
 	return !gone.IsZero() && now.Sub(gone) >= v.retention
 }
@@ -101,7 +165,7 @@
 // milliseconds, or zero.
 type versionsDocument map[identity.Service]map[identity.Software]int64
 
-// Document returns the stored form.
+// Document returns the record, the stored form.
 func (v *Versions) Document() ([]byte, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -119,7 +183,7 @@
 	return json.Marshal(d)
 }
 
-// Merge adds what an earlier process has stored; data is nil if nothing was. A version that
+// Merge adds the record that is in the store; data is nil if there is none. A version that
 // was there then and that this process has not seen is taken to be gone only now.
 func (v *Versions) Merge(data []byte) error {
 	var d versionsDocument
@@ -131,8 +195,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
+	v.recorded = make(map[Origin]bool)
 	for service, bySoftware := range d {
 		for software, millis := range bySoftware {
+			v.recorded[Origin{service, software}] = true
 			if _, known := v.gone[service][software]; known {
 				continue
 			}
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -35,6 +35,9 @@
 	// Leaving never returns to false for one incarnation, unless only the endpoint itself
 	// has said that it is leaving.
 	Leaving bool
+	// Held is set while calls should not begin at the endpoint, since not all hosts can
+	// know its software version yet.
+	Held bool
 	// Deadline is when a leaving host shuts down; zero if unknown.
 	Deadline time.Time
 	// ChecksFence is false for an endpoint that executes commands with a stale
