process/forward: give up a silent endpoint only for a certain retry

Callers got a 502 with time left, or a stream that ended midway, when an endpoint was silent for a second or two and then went on. The users' rules hold silence to be no trouble, and no reason to end an answer sooner.

Cause: the time limit of an attempt looked at the retry budget when it was set, and charged it only after the attempt had been cut. If an endpoint fell silent under several streams, all saw the same retry, all were cut, and one could be resumed. Calls that had not begun to be answered were cut whether or not there was another endpoint or any budget, streams also in their last attempt; the only endpoint got the call a second time.

Change: an attempt is given up only once its retry is certain: a run and a send are left, another endpoint takes calls now, nothing quarantines the call, and the retry is charged to the budget. The charge is returned if the retry isn't made. The silence still counts as one failure of the endpoint.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -264,13 +264,13 @@
 }
 
 // HasOther reports whether a service has another endpoint than the given one that runs
-// the same software and is not leaving.
+// the same software and may get a call now.
 func (b *Balancer) HasOther(now time.Time, e fleet.Endpoint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.ContainsFunc(b.services[e.Service], func(s *endpointState) bool {
 		return s.endpoint.Incarnation != e.Incarnation && s.endpoint.Software == e.Software &&
-			!s.endpoint.Leaving && !b.advice.Leaving(now, s.endpoint.Incarnation)
+			!s.endpoint.Leaving && b.advice.Open(now, s.endpoint.Incarnation)
 	})
 }
 
--- a/internal/process/balance/outstanding.go
+++ b/internal/process/balance/outstanding.go
@@ -15,7 +15,9 @@
 	call           Call
 	pendingPrefill unit.Tokens
 	ended          bool
-	startedAt      time.Time
+	// silent is set once the call's silence counts as a failure of the endpoint.
+	silent    bool
+	startedAt time.Time
 	// ahead is what the endpoint had to do when the call was sent.
 	ahead speed.Ahead
 	// firstEvent and lastEvent are the times of the first and the latest event.
@@ -76,6 +78,18 @@
 	o.b.speed.RecordAnswer(o.call.Service.ID, o.ahead.Running, slots, took)
 }
 
+// RecordSilence records that the endpoint is silent for so long that the call would be
+// sent to another one if it could. It counts as one failure, however the call ends.
+func (o *OutstandingCall) RecordSilence(now time.Time) {
+	o.b.mu.Lock()
+	defer o.b.mu.Unlock()
+	if o.ended || o.silent {
+		return
+	}
+	o.silent = true
+	o.s.recordFailures(now, 1)
+}
+
 // promptProcessed subtracts the call's prompt from the tokens that the endpoint has
 // yet to process.
 func (o *OutstandingCall) promptProcessed() {
@@ -117,7 +131,9 @@
 		o.s.recordSuccess()
 		o.recordStream()
 	case Failed:
-		o.s.recordFailures(now, 1)
+		if !o.silent {
+			o.s.recordFailures(now, 1)
+		}
 	case Unreachable:
 		o.s.recordFailures(now, unreachableFailures)
 		o.s.clearCache()
--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -27,19 +27,17 @@
 	copyBufferSize  = 16 << 10
 )
 
-var errNoProgress = errors.New("no progress")
-
 // attempt sends the call to one endpoint.
 func (k *forwarding) attempt(ctx context.Context, choice balance.Choice) *verdict.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	k.sends++
 	k.endpoint = choice.Endpoint
-	progressTimer := time.AfterFunc(k.progressTimeout(), func() { cancel(errNoProgress) })
-	defer progressTimer.Stop()
 	outstanding := k.f.balancer.Start(time.Now(), choice, k.call)
-	result, failure := k.exchange(ctx, choice, outstanding, progressTimer)
+	watch := k.watchSilence(cancel, outstanding)
+	result, failure := k.exchange(ctx, choice, outstanding, watch)
 	k.settleBudget(result)
+	k.charged = watch.end()
 	if result == balance.Unreachable {
 		k.f.Quarantine.RecordDown(choice.Endpoint.Incarnation)
 	}
@@ -50,32 +48,8 @@
 	return failure
 }
 
-// progressTimeout returns how long an attempt may take until the complete answer
-// or the first event of a stream.
-func (k *forwarding) progressTimeout() time.Duration {
-	left := time.Until(k.Deadline)
-	switch {
-	case !k.Route.Retryable() || k.runs+1 >= k.Route.Attempts && !k.isStream():
-		return left
-	case k.started && !k.canResumeAfter(k.runs+1):
-		return left
-	case k.isStream():
-		return max(firstEventTimeout, 2*k.Route.LatencyTarget)
-	default:
-		return max(minAnswerTimeout, time.Duration(answerTimeoutShare*float64(left)))
-	}
-}
-
-// canResumeAfter reports whether a stream that falls silent in the current attempt, the
-// one with this number of runs, can be resumed at another endpoint. If it can't, giving
-// the silent one up would only cut the answer, which may go on.
-func (k *forwarding) canResumeAfter(runs int) bool {
-	return k.Route.Retryable() && (!k.started || k.resumable) && runs < k.Route.Attempts && k.sends < maxSends &&
-		k.f.balancer.HasOther(time.Now(), k.endpoint) && k.f.budget.Available(time.Now(), k.Service.ID)
-}
-
 // exchange sends the call and passes its answer on.
-func (k *forwarding) exchange(ctx context.Context, choice balance.Choice, outstanding *balance.OutstandingCall, progressTimer *time.Timer) (balance.Result, *verdict.Error) {
+func (k *forwarding) exchange(ctx context.Context, choice balance.Choice, outstanding *balance.OutstandingCall, watch *silenceWatch) (balance.Result, *verdict.Error) {
 	request := endpoint.Request{
 		Method: k.Method, Target: k.Target, Host: k.Host, Body: k.Body,
 		Header:        k.f.Protocol.AttemptHeader(k.Call, choice.Endpoint, time.Until(k.Deadline), k.lastEvent),
@@ -117,7 +91,7 @@
 	}
 	k.runs++
 	if k.isStream() && answer.Status == http.StatusOK {
-		return k.forwardEvents(answer, outstanding, progressTimer)
+		return k.forwardEvents(answer, outstanding, watch)
 	}
 	if k.started {
 		// Nothing but the stream's continuation may follow what the caller has got.
@@ -229,7 +203,7 @@
 }
 
 // forwardEvents passes a stream on, event by event.
-func (k *forwarding) forwardEvents(answer *endpoint.Answer, outstanding *balance.OutstandingCall, progressTimer *time.Timer) (balance.Result, *verdict.Error) {
+func (k *forwarding) forwardEvents(answer *endpoint.Answer, outstanding *balance.OutstandingCall, watch *silenceWatch) (balance.Result, *verdict.Error) {
 	// continued is false until a resumed stream goes on at the event after the last.
 	continued := k.lastEvent < 0
 	if mediaType, _, _ := mime.ParseMediaType(answer.Header.Get("Content-Type")); !continued && mediaType != eventStreamType {
@@ -244,7 +218,7 @@
 		if err != nil {
 			return balance.Failed, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointLost, err)
 		}
-		k.recordProgress(outstanding, progressTimer)
+		k.recordProgress(outstanding, watch)
 		if e.ID >= 0 && e.ID <= k.lastEvent || !continued && e.Comment {
 			continue
 		}
@@ -274,18 +248,18 @@
 // eventStreamType is the media type of a stream of events.
 const eventStreamType = "text/event-stream"
 
-// recordProgress records that an event arrived. It restarts the progress timer, or
-// stops it if the stream can't be resumed.
-func (k *forwarding) recordProgress(outstanding *balance.OutstandingCall, progressTimer *time.Timer) {
+// recordProgress records that an event arrived. The next silence is watched if the stream
+// can be resumed.
+func (k *forwarding) recordProgress(outstanding *balance.OutstandingCall, watch *silenceWatch) {
 	k.countExecuted()
 	if ratio := outstanding.RecordEvent(time.Now()); ratio > 0 {
 		k.f.meter.Histogram("first_event_expected_ratio").Update(ratio)
 	}
-	if k.canResumeAfter(k.runs) {
-		progressTimer.Reset(eventTimeout)
+	if k.retriesLeft(k.runs) {
+		watch.restart(eventTimeout)
 		return
 	}
-	progressTimer.Stop()
+	watch.stop()
 }
 
 // writeEvent writes one event to the caller, preceded by the answer's status and
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -10,6 +10,13 @@
 // it is passed on, a longer one up to maxBufferedBody, and a stream until its first
 // event. Once a part of an answer has been passed on, only a stream is retried.
 //
+// # Silence
+//
+// An endpoint that says nothing may have crashed, or may be sound and go on. A call that
+// can be retried is given up at a silent endpoint after a while, but only once its retry
+// is certain: another endpoint takes it and the retry budget has been charged. Until
+// then, and without a retry, it waits until its deadline.
+//
 // # Streams
 //
 // Only complete events are passed on. If a resumable stream breaks off, it is
@@ -50,17 +57,6 @@
 	// maxSends is the maximum number of times that one call is sent, refused
 	// attempts included.
 	maxSends = 4
-	// firstEventTimeout is how long a stream may take to its first event before it
-	// is retried at another endpoint; callers give up after four times the latency
-	// target.
-	firstEventTimeout = 2 * time.Second
-	// eventTimeout is the maximum time between two events; callers tolerate eight
-	// times the target interval.
-	eventTimeout = 1500 * time.Millisecond
-	// answerTimeoutShare is the share of the remaining time that a retryable call
-	// waits for one endpoint while another attempt is left.
-	answerTimeoutShare = 0.4
-	minAnswerTimeout   = 120 * time.Millisecond
 	// minTimeLeft is the remaining time below which no endpoint can answer.
 	minTimeLeft = 5 * time.Millisecond
 	// shortRetryAfter and longRetryAfter are the delays after which refused
@@ -136,8 +132,9 @@
 	// sentTo lists the addresses that the call was sent to. An answer can't tell which
 	// attempt at one address it belongs to, other than by its connection.
 	sentTo []netip.AddrPort
-	// paid is set while the current attempt is charged to the retry budget.
-	paid bool
+	// paid is set while the current attempt is charged to the retry budget. charged is set
+	// from when the retry of a silent attempt is charged until it is made or not.
+	paid, charged bool
 	// overall is the verdict over all attempts so far.
 	overall verdict.Verdict
 	// started is set once status and header of an answer have been sent to the
@@ -229,6 +226,7 @@
 		sentAt := time.Now()
 		failure = k.attempt(ctx, choice)
 		if failure == nil {
+			k.returnCharge()
 			k.recordAnswer(choice, time.Since(sentAt))
 			k.f.Log.Info("call_answered", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
 				"software", choice.Endpoint.Software, "resumes", k.Resumes, "expected_wait", choice.Wait, "uncached", choice.Uncached, "attempts", k.failures, "last_event", k.lastEvent,
@@ -338,6 +336,7 @@
 // canRetry reports whether a failed call may be sent again, and charges the retry
 // budget if so.
 func (k *forwarding) canRetry(ctx context.Context, failure *verdict.Error) bool {
+	defer k.returnCharge()
 	if ctx.Err() != nil || k.sends >= maxSends || time.Until(k.Deadline) < minTimeLeft || k.started && !k.resumable {
 		return false
 	}
@@ -353,6 +352,10 @@
 	if k.delivered == 0 {
 		return true
 	}
+	if k.charged {
+		k.paid, k.charged = true, false
+		return true
+	}
 	k.paid = k.f.budget.Take(time.Now(), k.Service.ID)
 	if !k.paid {
 		k.f.meter.Refused(verdict.RetryBudget)
--- a/internal/process/forward/silence_test.go
+++ b/internal/process/forward/silence_test.go
@@ -1,8 +1,11 @@
 package forward_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,7 +13,9 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/process/forward"
 	"github.com/dandelionlift/dandelionlift/internal/process/retry"
+	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
 // sendEventsWithPause returns a handler that writes events 0 to 2, is silent for longer
@@ -75,3 +80,79 @@
 	c.Assert(got.Body.String(), qt.Equals, eventText(0, 5))
 	c.Assert(env.receivers(), qt.Equals, "ab")
 }
+
+// silentFor returns a handler that says nothing for a while before it answers.
+func silentFor(pause time.Duration, then http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(pause)
+		then(w, r)
+	}
+}
+
+// serveLong makes a call that has 6 s.
+func (env *testEnv) serveLong(id string, kind catalogue.Kind, attempts int) (*httptest.ResponseRecorder, *verdict.Error) {
+	recorder, now := httptest.NewRecorder(), time.Now()
+	_, failure := env.forwarder.Serve(context.Background(), recorder, &forward.Call{
+		ID: identity.Request(id), Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{}, Body: []byte("x"),
+		Route:   &catalogue.Route{Kind: kind, Resumable: kind == catalogue.Stream, Attempts: attempts, LatencyTarget: time.Second},
+		Service: &catalogue.Service{ID: "s"}, Arrived: now, Deadline: now.Add(6 * time.Second), LastEvent: -1,
+	})
+	return recorder, failure
+}
+
+// When an endpoint falls silent under many streams and goes on, the budget suffices to
+// resume few of them. The others must not be cut on the chance that it does.
+func TestSilentStreamsShareTheRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	// The host starts with half of 0.7 x 4 retries, for one stream.
+	env := newTestEnvWithBudget(c, retry.Limits{Slack: 4, Window: time.Hour}, sendEventsWithPause(), sendEvents(3, 5, true))
+	const streams = 6
+	var answers [streams]*httptest.ResponseRecorder
+	var failures [streams]*verdict.Error
+	var group sync.WaitGroup
+	for i := range streams {
+		group.Go(func() { answers[i], failures[i] = env.serveLong(strconv.Itoa(i), catalogue.Stream, 2) })
+	}
+	group.Wait()
+	for i := range streams {
+		c.Check(failures[i] == nil, qt.IsTrue, qt.Commentf("stream %d: %+v", i, failures[i]))
+		c.Check(answers[i].Body.String(), qt.Equals, eventText(0, 5))
+	}
+	c.Assert(len(env.receivers()) <= streams+1, qt.IsTrue, qt.Commentf("received by %s", env.receivers()))
+}
+
+// A call whose endpoint is silent for a while must not fail with time left because it
+// can't be sent again: there is no retry budget, no attempt left or no other endpoint.
+func TestSilentCallWaitsWithoutAnotherAttempt(t *testing.T) {
+	enough, none := retry.Limits{Ratio: 0.2, Slack: 100, Window: time.Second}, retry.Limits{Window: time.Second}
+	pause := 2700 * time.Millisecond
+	for _, test := range []struct {
+		name     string
+		kind     catalogue.Kind
+		attempts int
+		budget   retry.Limits
+		others   []http.HandlerFunc
+	}{
+		{"stream, no budget", catalogue.Stream, 2, none, []http.HandlerFunc{sendEvents(0, 5, true)}},
+		{"stream, last attempt", catalogue.Stream, 1, enough, []http.HandlerFunc{sendEvents(0, 5, true)}},
+		{"stream, only endpoint", catalogue.Stream, 2, enough, nil},
+		{"answer, no budget", catalogue.Idempotent, 2, none, []http.HandlerFunc{answer("b")}},
+		{"answer, last attempt", catalogue.Idempotent, 1, enough, []http.HandlerFunc{answer("b")}},
+		{"answer, only endpoint", catalogue.Idempotent, 2, enough, nil},
+		{"answer that runs once", catalogue.NonIdempotent, 2, enough, []http.HandlerFunc{answer("b")}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			first, want := silentFor(pause, answer("a")), "a"
+			if test.kind == catalogue.Stream {
+				first, want = silentFor(pause, sendEvents(0, 5, true)), eventText(0, 5)
+			}
+			env := newTestEnvWithBudget(c, test.budget, append([]http.HandlerFunc{first}, test.others...)...)
+			got, failure := env.serveLong("1", test.kind, test.attempts)
+			c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%+v", failure))
+			c.Assert(got.Body.String(), qt.Equals, want)
+			c.Assert(env.receivers(), qt.Equals, "a")
+		})
+	}
+}
--- a/internal/process/retry/retry.go
+++ b/internal/process/retry/retry.go
@@ -78,13 +78,6 @@
 	return true
 }
 
-// Available reports whether the budget suffices for one retry.
-func (b *Budget) Available(now time.Time, service identity.Service) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bucket(now, service).retries >= 1
-}
-
 // Return refunds the charge for an attempt that reached no endpoint.
 func (b *Budget) Return(now time.Time, service identity.Service) {
 	b.mu.Lock()
