process/forward: no long answer is cut for taking long

Callers of idempotent calls could get an answer of more than 64 KiB that ended early, with time left, when its endpoint paused or was just slow.

Cause: a call that can be retried gives its endpoint 0.4 of its time for the complete answer. A long answer is passed on before it is complete, and can't be retried from then on, but the limit went on running: it cut the answer, and nothing could follow.

Change: the limit ends when the first part of a long answer is passed on, unless the attempt has been given up just before, which is then retried.

Evidence: an answer of 81 KiB with a pause of 2.7 s and 6 s of time was cut 2.4 s after it began. It is now passed on whole. The new test failed before.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -99,7 +99,7 @@
 	}
 	k.countExecuted()
 	outstanding.RecordAnswer(time.Now())
-	return k.forwardAnswer(ctx, answer)
+	return k.forwardAnswer(ctx, answer, watch)
 }
 
 // recordAdvice records what an endpoint says of itself, unless another one has answered.
@@ -157,7 +157,7 @@
 }
 
 // forwardAnswer passes an answer on. Short answers are buffered completely first.
-func (k *forwarding) forwardAnswer(ctx context.Context, answer *endpoint.Answer) (balance.Result, *verdict.Error) {
+func (k *forwarding) forwardAnswer(ctx context.Context, answer *endpoint.Answer, watch *silenceWatch) (balance.Result, *verdict.Error) {
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBody+1))
 	if err != nil {
 		return balance.Failed, k.interrupted(ctx, err)
@@ -168,6 +168,9 @@
 	}
 	header := k.f.Protocol.CallerHeader(answer.Header)
 	if len(data) > maxBufferedBody {
+		if !watch.stop() {
+			return balance.Failed, k.interrupted(ctx, errNoProgress)
+		}
 		return k.streamAnswer(ctx, answer, header, data)
 	}
 	whole := &bufferedAnswer{status: answer.Status, header: header, body: data}
--- a/internal/process/forward/silence.go
+++ b/internal/process/forward/silence.go
@@ -56,7 +56,9 @@
 	timer *time.Timer
 	// charged is set once the attempt is given up and its retry charged to the budget.
 	charged bool
-	ended   bool
+	// stopped is set while a silence is not watched: the timer may have expired just
+	// before it was stopped.
+	stopped bool
 }
 
 // watchSilence watches the current attempt. Give up ends it.
@@ -72,20 +74,19 @@
 func (w *silenceWatch) restart(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	switch {
-	case w.ended || w.charged:
-	case w.timer == nil:
+	w.stopped = false
+	if w.timer == nil {
 		w.timer = time.AfterFunc(limit, w.expire)
-	default:
-		w.timer.Reset(limit)
+		return
 	}
+	w.timer.Reset(limit)
 }
 
 // expire gives the attempt up if the call can go on elsewhere.
 func (w *silenceWatch) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.ended || w.charged {
+	if w.stopped || w.charged {
 		return
 	}
 	now := time.Now()
@@ -98,22 +99,22 @@
 	w.giveUp(errNoProgress)
 }
 
-// stop lets the attempt be silent for as long as it has time.
-func (w *silenceWatch) stop() {
+// stop lets the attempt be silent for as long as it has time, until restart. It returns
+// false if the attempt has been given up, after which no part of its answer may be passed
+// on that keeps the call from being retried.
+func (w *silenceWatch) stop() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	w.stopped = true
+	return !w.charged
 }
 
 // end ends the watch and reports whether a retry has been charged.
 func (w *silenceWatch) end() bool {
-	w.stop()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.ended = true
-	return w.charged
+	return !w.stop()
 }
 
 // chargeRetry charges a retry of the current attempt to the budget if the call can be
--- a/internal/process/forward/silence_test.go
+++ b/internal/process/forward/silence_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -156,3 +158,23 @@
 		})
 	}
 }
+
+// A long answer of which a part has been passed on can't be retried. It must not be cut
+// because it takes longer than an attempt that can.
+func TestSilenceInLongAnswerIsWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	begin, rest := strings.Repeat("a", 80<<10), strings.Repeat("b", 1<<10)
+	env := newTestEnv(c, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(begin)+len(rest)))
+		fmt.Fprint(w, begin)
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		time.Sleep(2700 * time.Millisecond)
+		fmt.Fprint(w, rest)
+	}, answer("b"))
+	got, failure := env.serveLong("1", catalogue.Idempotent, 2)
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%+v", failure))
+	c.Assert(got.Body.String() == begin+rest, qt.IsTrue, qt.Commentf("%d bytes", got.Body.Len()))
+	c.Assert(env.receivers(), qt.Equals, "a")
+}
