process/forward: streams wait for half of what their callers do

Streams whose endpoint was sound were cut and run a second time elsewhere when it said nothing for a second or so. Some of them could not be finished: the second run began late, or no run was left when it was cut too.

Cause: a silence of 1.5 s between two events ended an attempt.

Change: the limit is half of the time for which callers wait by the deployment's figures, 2 s at least, before the first event as between two. The other half is left to another endpoint. Before the first event it only differs where eight times the event interval exceeds four times the latency target. A dead endpoint without a reset is noticed 0.5 to 1.5 s later.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -259,7 +259,7 @@
 		k.f.meter.Histogram("first_event_expected_ratio").Update(ratio)
 	}
 	if k.retriesLeft(k.runs) {
-		watch.restart(eventTimeout)
+		watch.restart(k.silenceLimit())
 		return
 	}
 	watch.stop()
--- a/internal/process/forward/silence.go
+++ b/internal/process/forward/silence.go
@@ -10,13 +10,15 @@
 )
 
 const (
-	// firstEventTimeout is how long a stream may take to its first event before it
-	// is retried at another endpoint; callers give up after four times the latency
-	// target.
-	firstEventTimeout = 2 * time.Second
-	// eventTimeout is the maximum time between two events; callers tolerate eight
-	// times the target interval.
-	eventTimeout = 1500 * time.Millisecond
+	// minEventTimeout, targetTimeouts and intervalTimeouts say how long a stream may take
+	// to its first event, or between two events, before it is given up for another
+	// endpoint: half of the time after which callers leave, who wait for 2 s, four times
+	// the latency target or eight times the target interval. A sound endpoint may be
+	// silent for a second or so, and a path that was cut for as long takes up to twice
+	// that, until its next retransmission.
+	minEventTimeout  = 2 * time.Second
+	targetTimeouts   = 2
+	intervalTimeouts = 4
 	// answerTimeoutShare is the share of the remaining time that a retryable call
 	// waits for one endpoint while another attempt is left.
 	answerTimeoutShare = 0.4
@@ -29,10 +31,10 @@
 var errNoProgress = errors.New("no progress")
 
 // silenceLimit returns how long an attempt may take until the complete answer or the
-// first event of a stream.
+// next event of a stream.
 func (k *forwarding) silenceLimit() time.Duration {
 	if k.isStream() {
-		return max(firstEventTimeout, 2*k.Route.LatencyTarget)
+		return max(minEventTimeout, targetTimeouts*k.Route.LatencyTarget, intervalTimeouts*k.Route.EventIntervalTarget)
 	}
 	return max(minAnswerTimeout, time.Duration(answerTimeoutShare*float64(time.Until(k.Deadline))))
 }
