process/forward: ask again whether an endpoint wants the call

Nothing asked again.

The pool now asks right before it writes a request. A call that may not be sent any more has made no attempt: its count, the charge to the retry budget and the verdict stay as they are, and another endpoint is chosen.

--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -85,8 +85,14 @@
 	// Owner returns which request an answer with these headers names: a late second
 	// answer to an earlier request may precede it. If nil, answers name none.
 	Owner func(http.Header) Owner
+	// Permitted, if set, is called once there is a connection. If it returns false, nothing
+	// is written and the error's cause is ErrNotPermitted.
+	Permitted func() bool
 }
 
+// ErrNotPermitted is the cause of the error for a request that Permitted stopped.
+var ErrNotPermitted = errors.New("no longer permitted")
+
 // Owner is the request that an answer names.
 type Owner uint8
 
@@ -188,6 +194,10 @@
 	if err != nil {
 		return nil, verdict.Wrap(verdict.NotRun, verdict.EndpointUnreachable, err)
 	}
+	if r.Permitted != nil && !r.Permitted() {
+		c.Close()
+		return nil, verdict.Wrap(verdict.NotRun, verdict.EndpointLeaving, ErrNotPermitted)
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	writeDone := make(chan error, 1)
 	p.group.Go(func() error {
--- a/internal/process/advice/advice.go
+++ b/internal/process/advice/advice.go
@@ -114,6 +114,15 @@
 	return !closed && k.Limits.Open(endpoint)
 }
 
+// Permits reports whether a call for which an endpoint was open earlier may still be sent
+// to it.
+func (k *Keeper) Permits(now time.Time, endpoint identity.Incarnation) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.endpoints[endpoint]
+	return s == nil || !now.Before(s.leavingUntil) && !now.Before(s.quietUntil)
+}
+
 // closedFor returns for how long an endpoint that was quiet gets no further call.
 func (s *state) closedFor(now time.Time) time.Duration {
 	since := now.Sub(s.quietUntil)
--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -220,6 +220,15 @@
 	return best.Choice, found
 }
 
+// Permits reports whether a call for which an endpoint was chosen earlier may still be
+// sent to it: it has neither been removed nor begun to leave since, and wants calls.
+func (b *Balancer) Permits(now time.Time, e fleet.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.endpoints[e.Incarnation]
+	return s != nil && !s.endpoint.Leaving && b.advice.Permits(now, e.Incarnation)
+}
+
 // Closed tells why a service has no endpoint for a call by what its endpoints have said.
 // limited is set if one of them would serve it, had it not named a limit. quiet is for how
 // long the first of those that are quiet wants no call, or zero.
--- a/internal/process/forward/advice_test.go
+++ b/internal/process/forward/advice_test.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/forward"
+	"github.com/dandelionlift/dandelionlift/internal/process/retry"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
@@ -99,3 +102,48 @@
 	c.Check(env.forwarder.Advice.Leaving(time.Now(), "a"), qt.IsFalse)
 	c.Check(env.forwarder.Advice.Open(time.Now(), "a"), qt.IsTrue)
 }
+
+// While a call waits for a connection to an endpoint, that one refuses another call and
+// wants none for a while, says that it is leaving, leaves or starts again. The call must
+// go elsewhere, and its only retry, paid for before, is for the endpoint that gets it.
+func TestCallThatWaitsForAConnectionIsNotSentToAnEndpointThatWantsNone(t *testing.T) {
+	said := func(a advice.Advice) func(*testEnv, int) {
+		return func(env *testEnv, i int) {
+			env.forwarder.Advice.Record(time.Now(), env.endpoints[i].Incarnation, a, false, 0)
+		}
+	}
+	for name, change := range map[string]func(env *testEnv, i int){
+		"quiet":   said(advice.Advice{Quiet: time.Second}),
+		"leaving": said(advice.Advice{Leaving: true}),
+		"left": func(env *testEnv, i int) {
+			list := slices.Clone(env.endpoints)
+			list[i].Leaving = true
+			env.balancer.SetEndpoints(list)
+		},
+		"restarted": func(env *testEnv, i int) {
+			list := slices.Clone(env.endpoints)
+			list[i].Incarnation += "@2"
+			list[i].Leaving = true
+			env.balancer.SetEndpoints(list)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			env := newTestEnvWithBudget(c, retry.Limits{Slack: 4, Window: time.Hour}, refuse, answer("b"), answer("c"))
+			changed := ""
+			env.onDial = func(address string) {
+				for i := 1; i < len(env.endpoints) && changed == ""; i++ {
+					if address == env.endpoints[i].Address.String() {
+						changed = string(env.endpoints[i].Host)
+						change(env, i)
+					}
+				}
+			}
+			got, _, failure := env.serve(catalogue.NonIdempotent, false, 1)
+			c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+			other := strings.Trim("bc", changed)
+			c.Check(got.Body.String(), qt.Equals, other)
+			c.Check(env.receivers(), qt.Equals, "a"+other)
+		})
+	}
+}
--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -36,8 +36,15 @@
 	outstanding := k.f.balancer.Start(time.Now(), choice, k.call)
 	watch := k.watchSilence(cancel, outstanding)
 	result, failure := k.exchange(ctx, choice, outstanding, watch)
-	k.settleBudget(result)
 	k.charged = watch.end()
+	if notPermitted(failure) {
+		// Not an attempt: its charge to the retry budget holds for the next one.
+		k.sends--
+		k.returnCharge()
+		outstanding.End(time.Now(), balance.Abandoned)
+		return failure
+	}
+	k.settleBudget(result)
 	if result == balance.Unreachable {
 		k.f.Quarantine.RecordDown(choice.Endpoint.Incarnation)
 	}
@@ -48,6 +55,12 @@
 	return failure
 }
 
+// notPermitted reports whether a call was not sent since its endpoint, by the time there
+// was a connection, had begun to leave or wanted no calls.
+func notPermitted(failure *verdict.Error) bool {
+	return failure != nil && errors.Is(failure, endpoint.ErrNotPermitted)
+}
+
 // exchange sends the call and passes its answer on.
 func (k *forwarding) exchange(ctx context.Context, choice balance.Choice, outstanding *balance.OutstandingCall, watch *silenceWatch) (balance.Result, *verdict.Error) {
 	request := endpoint.Request{
@@ -56,6 +69,7 @@
 		NonIdempotent: !k.Route.Retryable(),
 		NewConnection: k.ID == "" || slices.Contains(k.sentTo, choice.Endpoint.Address),
 		Owner:         func(h http.Header) endpoint.Owner { return k.f.Protocol.Owner(k.Call, h) },
+		Permitted:     func() bool { return k.f.balancer.Permits(time.Now(), choice.Endpoint) },
 	}
 	k.sentTo = append(k.sentTo, choice.Endpoint.Address)
 	sentAt := time.Now()
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -10,6 +10,10 @@
 // it is passed on, a longer one up to maxBufferedBody, and a stream until its first
 // event. Once a part of an answer has been passed on, only a stream is retried.
 //
+// An endpoint may begin to leave, or want no calls for a while, between its choice and
+// the moment there is a connection to it. The call is then not sent, which is no attempt,
+// and another endpoint is chosen.
+//
 // # Silence
 //
 // An endpoint that says nothing may have crashed, or may be sound and go on. A call that
@@ -233,6 +237,11 @@
 				"limited", k.advice.Limited, "limit", k.advice.PerSecond, "after", time.Since(k.Arrived))
 			return nil
 		}
+		if notPermitted(failure) {
+			k.f.meter.Retried(failure.Reason)
+			k.call.Avoid = append(k.call.Avoid, choice.Endpoint.Incarnation)
+			continue
+		}
 		k.failures = append(k.failures, string(choice.Endpoint.Incarnation)+" "+string(choice.Endpoint.Software)+" "+string(failure.Reason)+" "+failure.Verdict.String())
 		if endpoint.Disconnected(failure) {
 			k.f.Quarantine.RecordCrash(k.quarantineAttempt(choice, time.Since(sentAt)))
--- a/internal/process/forward/forward_test.go
+++ b/internal/process/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -37,6 +38,8 @@
 	balancer  *balance.Balancer
 	endpoints []fleet.Endpoint
 	mu        sync.Mutex
+	// onDial, if set, is called with each address before a connection is opened.
+	onDial func(address string)
 	// received lists the endpoints in the order in which they received requests.
 	received []string
 }
@@ -73,7 +76,13 @@
 	b.SetEndpoints(list)
 	env.balancer, env.endpoints = b, list
 	budget := retry.New(limits, func() int { return 1 })
-	env.forwarder = forward.New(endpoint.New(new(errgroup.Group)), b, quota.New(time.Now()), budget, meter.New())
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if env.onDial != nil {
+			env.onDial(address)
+		}
+		return endpoint.NewDialer().DialContext(ctx, network, address)
+	}
+	env.forwarder = forward.New(endpoint.New(new(errgroup.Group), endpoint.WithDial(dial)), b, quota.New(time.Now()), budget, meter.New())
 	env.forwarder.Advice = said
 	env.forwarder.Protocol = forward.Protocol{
 		AttemptHeader: func(_ *forward.Call, _ fleet.Endpoint, _ time.Duration, last int64) http.Header {
