process/advice: what was said counts for the incarnation that said it

An endpoint that starts again answers calls before this host has heard of its start. What it said then was recorded for the earlier incarnation and forgotten with it: it got calls although it had said that it leaves or wants none for a while.

Once the store tells of the start, what came in answers to calls that were sent since then is the later incarnation's, and so is what calls bring that are answered afterwards, the limits too. The rest stays with the earlier one: a quiet time of the later one counts even if the earlier one had named a longer one. The start is read on the time that hosts agree on; a start before this host found the earlier incarnation is a wrong clock and carries nothing.

Evidence: in TestWhatAnEndpointSaidIsThatOfItsIncarnation the endpoint that had said after its start that it leaves counted as ready (failed before). A later incarnation was clean before as well, which has a test now. Advice of endpoints that are not listed is kept for a minute, in place of only that they leave, and no longer counted in endpoints_quiet.

--- a/internal/process/advice/advice.go
+++ b/internal/process/advice/advice.go
@@ -4,7 +4,7 @@
 //
 // An endpoint that is about to shut down says so in its answers, often before the
 // platform does and at times instead of it. It gets no further calls. What it said
-// counts for this incarnation only, and for longer than any endpoint takes to shut down;
+// counts for longer than any endpoint takes to shut down;
 // one that still exists then was wrong, or has changed its mind.
 //
 // # Quiet
@@ -15,6 +15,11 @@
 // and the endpoint has said what it needs. Afterwards the endpoint gets one call, and
 // twice as many in all with each step of time, until it refuses one again.
 //
+// # Incarnations
+//
+// What an endpoint has said counts for the incarnation that said it. A call may be
+// answered by a later one than it was sent to, which the host hears of afterwards.
+//
 // # Limits
 //
 // An endpoint may name a rate of calls from all hosts together; see package limit.
@@ -35,6 +40,10 @@
 	// maxQuiet bounds the time that an endpoint may name. It is longer than one needs to
 	// start again; one that named a longer time by mistake is asked once a minute.
 	maxQuiet = time.Minute
+	// missingDuration is how long the advice of an endpoint is kept that is not listed any
+	// more: an entry may come back while its endpoint shuts down, and a call may be answered
+	// after the endpoint has started again.
+	missingDuration = time.Minute
 	// rampStep is how long after it was quiet an endpoint gets twice as many calls of this
 	// host, starting with one: about as long as it takes to refuse a call. After rampSteps
 	// it gets as many as there are.
@@ -52,8 +61,11 @@
 	Quiet time.Duration
 }
 
-// Change is what an answer has changed.
-type Change struct{ Limit, Leaving, Quiet bool }
+// Change is what an answer has changed, and of which incarnation.
+type Change struct {
+	Endpoint              identity.Incarnation
+	Limit, Leaving, Quiet bool
+}
 
 // Keeper holds the advice of endpoints as known to one host. Create one with New.
 type Keeper struct {
@@ -66,9 +78,37 @@
 
 // state is the latest advice of one endpoint.
 type state struct {
-	leavingUntil, quietUntil time.Time
-	// sent counts the calls sent since quietUntil, while they are limited.
+	leavingUntil time.Time
+	// leavingSent is when the latest call was sent in whose answer it said that it leaves.
+	leavingSent time.Time
+	// quiet is the time that ends last, latestQuiet that of the latest call.
+	quiet, latestQuiet quiet
+	// sent counts the calls sent since the end of quiet, while they are limited.
 	sent int
+	// successor is the next incarnation of the endpoint, if there is one, and
+	// successorStarted when it started.
+	successor        identity.Incarnation
+	successorStarted time.Time
+	// listed is when the endpoint was last one of those retained; missing is set if it was
+	// none of the latest ones.
+	listed  time.Time
+	missing bool
+}
+
+// quiet is a time for which an endpoint wants no calls.
+type quiet struct {
+	// sent is when the call was sent that was refused.
+	sent, until time.Time
+}
+
+// state returns the state of an endpoint. The caller holds the lock.
+func (k *Keeper) state(now time.Time, endpoint identity.Incarnation) *state {
+	s := k.endpoints[endpoint]
+	if s == nil {
+		s = &state{listed: now}
+		k.endpoints[endpoint] = s
+	}
+	return s
 }
 
 // New returns a Keeper with limits.
@@ -80,31 +120,70 @@
 // ago. executed is set if the endpoint has executed the call: a refusal without a limit
 // is no sign that a limit has ended.
 func (k *Keeper) Record(now time.Time, endpoint identity.Incarnation, a Advice, executed bool, sentBefore time.Duration) Change {
-	var change Change
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	sent := now.Add(-sentBefore)
+	change := Change{Endpoint: k.answering(endpoint, sent)}
 	if a.Limited || executed {
-		change.Limit = k.Limits.Record(endpoint, a.PerSecond, a.Limited, sentBefore)
+		change.Limit = k.Limits.Record(change.Endpoint, a.PerSecond, a.Limited, sentBefore)
 	}
 	if !a.Leaving && a.Quiet <= 0 {
 		return change
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	s := k.endpoints[endpoint]
-	if s == nil {
-		s = new(state)
-		k.endpoints[endpoint] = s
-	}
+	s := k.state(now, change.Endpoint)
 	if a.Leaving {
 		change.Leaving = !now.Before(s.leavingUntil)
-		s.leavingUntil = now.Add(leavingDuration)
+		s.leavingUntil, s.leavingSent = now.Add(leavingDuration), sent
 	}
-	if until := now.Add(min(a.Quiet, maxQuiet)); a.Quiet > 0 && until.After(s.quietUntil) {
-		change.Quiet = true
-		s.quietUntil, s.sent = until, 0
+	if a.Quiet > 0 {
+		change.Quiet = s.recordQuiet(quiet{sent: sent, until: now.Add(min(a.Quiet, maxQuiet))})
 	}
 	return change
 }
 
+func (s *state) recordQuiet(q quiet) (longer bool) {
+	if !q.sent.Before(s.latestQuiet.sent) {
+		s.latestQuiet = q
+	}
+	if !q.until.After(s.quiet.until) {
+		return false
+	}
+	s.quiet, s.sent = q, 0
+	return true
+}
+
+// answering returns the incarnation that answers a call which was sent to an endpoint, as
+// far as known. The caller holds the lock.
+func (k *Keeper) answering(endpoint identity.Incarnation, sent time.Time) identity.Incarnation {
+	for {
+		s := k.endpoints[endpoint]
+		if s == nil || s.successor == "" || sent.Before(s.successorStarted) {
+			return endpoint
+		}
+		endpoint = s.successor
+	}
+}
+
+// Succeed records that an endpoint has started again, some time ago, as another
+// incarnation. What was said in answers to calls that were sent since then was said by
+// this one; the rest is not held against it. An incarnation must be the successor of
+// earlier ones only.
+func (k *Keeper) Succeed(now time.Time, ended, successor identity.Incarnation, startedBefore time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	started := now.Add(-startedBefore)
+	s, next := k.state(now, ended), k.state(now, successor)
+	s.successor, s.successorStarted = successor, started
+	for _, q := range []quiet{s.quiet, s.latestQuiet} {
+		if !q.sent.Before(started) {
+			next.recordQuiet(q)
+		}
+	}
+	if !s.leavingSent.Before(started) {
+		next.leavingUntil, next.leavingSent = s.leavingUntil, s.leavingSent
+	}
+}
+
 // Open reports whether an endpoint may get a call now.
 func (k *Keeper) Open(now time.Time, endpoint identity.Incarnation) bool {
 	k.mu.Lock()
@@ -120,12 +199,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.endpoints[endpoint]
-	return s == nil || !now.Before(s.leavingUntil) && !now.Before(s.quietUntil)
+	return s == nil || !now.Before(s.leavingUntil) && !now.Before(s.quiet.until)
 }
 
 // closedFor returns for how long an endpoint that was quiet gets no further call.
 func (s *state) closedFor(now time.Time) time.Duration {
-	since := now.Sub(s.quietUntil)
+	since := now.Sub(s.quiet.until)
 	if since < 0 {
 		return -since
 	}
@@ -165,30 +244,37 @@
 	return s != nil && now.Before(s.leavingUntil)
 }
 
-// Counts returns how many endpoints have said that they are leaving, and how many are
-// quiet.
+// Counts returns how many of the endpoints that are listed have said that they are leaving,
+// and how many are quiet.
 func (k *Keeper) Counts(now time.Time) (leaving, quiet int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, s := range k.endpoints {
+		if s.missing {
+			continue
+		}
 		if now.Before(s.leavingUntil) {
 			leaving++
 		}
-		if now.Before(s.quietUntil) {
+		if now.Before(s.quiet.until) {
 			quiet++
 		}
 	}
 	return leaving, quiet
 }
 
-// Retain drops the advice of all other endpoints, except that some of them are leaving:
-// an entry may come back while its endpoint shuts down.
+// Retain drops the advice of all other endpoints once they have been missing for
+// missingDuration.
 func (k *Keeper) Retain(now time.Time, endpoints map[identity.Incarnation]bool) {
 	k.Limits.Retain(endpoints)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for id, s := range k.endpoints {
-		if !endpoints[id] && !now.Before(s.leavingUntil) {
+		s.missing = !endpoints[id]
+		if !s.missing {
+			s.listed = now
+		}
+		if now.Sub(s.listed) >= missingDuration {
 			delete(k.endpoints, id)
 		}
 	}
--- a/internal/process/advice/advice_test.go
+++ b/internal/process/advice/advice_test.go
@@ -100,3 +100,42 @@
 	c.Check(k.Leaving(start.Add(61*time.Second), "a@1"), qt.IsFalse)
 	c.Assert(say(62*time.Second), qt.IsTrue)
 }
+
+// An endpoint that is quiet and leaving starts again. The later incarnation must get calls
+// at once, also if the answer of the earlier one is recorded late.
+func TestLaterIncarnationIsNotQuietForTheEarlierOne(t *testing.T) {
+	c := qt.New(t)
+	k := advice.New(limit.New())
+	k.Record(start, "a@1", advice.Advice{Quiet: time.Minute, Leaving: true}, false, 0)
+	k.Succeed(start.Add(3*time.Second), "a@1", "a@2", time.Second)
+	now := start.Add(4 * time.Second)
+	k.Record(now, "a@1", advice.Advice{Quiet: time.Minute, Leaving: true}, false, 3*time.Second)
+	c.Check(k.Open(now, "a@2"), qt.IsTrue)
+	c.Check(k.Leaving(now, "a@2"), qt.IsFalse)
+	c.Check(k.Open(now, "a@1"), qt.IsFalse)
+}
+
+// An endpoint starts again, and answers calls before this host has heard of that. What it
+// says then was forgotten with the earlier incarnation, and it got the calls that it did
+// not want; so it is while the earlier one was quiet for longer.
+func TestAdviceBeforeTheStartIsKnownCounts(t *testing.T) {
+	c := qt.New(t)
+	for _, earlier := range []time.Duration{0, time.Minute} {
+		k := advice.New(limit.New())
+		quiet(k, 0, "a@1", earlier)
+		quiet(k, 2*time.Second, "a@1", 10*time.Second)
+		k.Succeed(start.Add(3*time.Second), "a@1", "a@2", 1500*time.Millisecond)
+		c.Check(k.ClosedFor(start.Add(3*time.Second), "a@2"), qt.Equals, 9*time.Second)
+		c.Check(k.Leaving(start.Add(3*time.Second), "a@2"), qt.IsFalse)
+		// Two calls that were sent to the earlier one by its name are answered now.
+		now := start.Add(4 * time.Second)
+		change := k.Record(now, "a@1", advice.Advice{Quiet: 20 * time.Second}, false, time.Second)
+		c.Check(change, qt.Equals, advice.Change{Endpoint: "a@2", Quiet: true})
+		c.Check(k.ClosedFor(now, "a@2"), qt.Equals, 20*time.Second)
+		change = k.Record(now, "a@1", advice.Advice{Leaving: true}, false, time.Second)
+		c.Check(change, qt.Equals, advice.Change{Endpoint: "a@2", Leaving: true})
+		// It starts once more.
+		k.Succeed(start.Add(8*time.Second), "a@2", "a@3", time.Second)
+		c.Check(k.Open(start.Add(8*time.Second), "a@3"), qt.IsTrue)
+	}
+}
--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -126,6 +126,7 @@
 	k.advice = k.f.Protocol.Advice(answer.Status, answer.Header)
 	id := choice.Endpoint.Incarnation
 	change := k.f.Advice.Record(time.Now(), id, k.advice, class == Executed, sentBefore)
+	id = change.Endpoint
 	if change.Limit {
 		k.f.Log.Info("endpoint_limit", "endpoint", id, "limited", k.advice.Limited, "per_second", k.advice.PerSecond, "request", k.ID)
 	}
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -189,11 +189,23 @@
 	}
 	if ended := previous.endpoint.Incarnation; ended != "" && ended != e.Incarnation {
 		g.markLeaving(now, ended, "later start", item.Revision)
+		g.recordStart(now, previous.endpoint, e)
 	}
 	g.control.entries[item.Key] = entry{endpoint: e, revision: item.Revision}
 	delete(g.control.retained, item.Key)
 }
 
+// recordStart tells the keeper of advice when an endpoint has started again. It doesn't if
+// the start lies before this host found the earlier incarnation: the endpoint's clock must
+// be wrong then.
+func (g *Gateway) recordStart(now time.Time, ended, next fleet.Endpoint) {
+	age := g.clock.Now().Sub(next.Started)
+	if age > now.Sub(ended.FirstSeen) || !next.Started.After(ended.Started) {
+		return
+	}
+	g.advice.Succeed(now, ended.Incarnation, next.Incarnation, age)
+}
+
 // handleRemovals marks the endpoints of removed entries as leaving. Around a store
 // outage an entry may have expired although its endpoint is alive, so the endpoint is
 // retained until it has had time to register again since the store last failed.
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -553,6 +553,29 @@
 	waitForStates(c, g, "ready ready ready ready")
 }
 
+// Two endpoints start again. One had said before that it is leaving, one says so
+// afterwards, before the store tells of its start: that must not be forgotten. The clock
+// of a third tells a start long before, which proves nothing.
+func TestWhatAnEndpointSaidIsThatOfItsIncarnation(t *testing.T) {
+	c, s, g := startWithEndpoints(t)
+	f := g.Forwarder()
+	say := func(id identity.Incarnation) {
+		f.Advice.Record(time.Now(), id, advice.Advice{Leaving: true}, true, 0)
+		f.OnLeaving(id)
+	}
+	say("endpoints/0")
+	say("endpoints/2")
+	time.Sleep(time.Second)
+	started := time.Now().Truncate(time.Second).Add(time.Second)
+	time.Sleep(time.Until(started) + 100*time.Millisecond)
+	say("endpoints/1")
+	waitForStates(c, g, "leaving leaving leaving")
+	s.set("endpoints/0", fmt.Sprint("ready@", started.Unix()))
+	s.set("endpoints/1", fmt.Sprint("ready@", started.Unix()))
+	s.set("endpoints/2", "ready@2")
+	waitForStates(c, g, "ready leaving ready")
+}
+
 // The store is restored a second time, or away again, before an endpoint could register
 // after the first time. It must not count as gone for good.
 func TestEndpointsAreKeptOverTwoRestorations(t *testing.T) {
