process/balance: a test that a quiet endpoint can't go on with a stream

Callers of a stream whose endpoint fell silent lost the rest of it where all other endpoints wanted no calls: one of them counted as able to go on, so the silent one was given up, and then no endpoint could be chosen.

--- a/internal/process/balance/advice_test.go
+++ b/internal/process/balance/advice_test.go
@@ -155,3 +155,15 @@
 	f.run(10, 4*time.Second)
 	c.Check(f.calls-f.lost > before, qt.IsTrue, qt.Commentf("calls are served again"))
 }
+
+// A stream falls silent while all other endpoints want no calls. If one counted as able to
+// go on with it, the stream would be given up and cut, though it may go on.
+func TestQuietEndpointIsNoOtherForAStream(t *testing.T) {
+	c := qt.New(t)
+	f := newQuietFleet(1, 2, 0, 0)
+	h := f.hosts[0]
+	c.Assert(h.HasOther(f.now, h.Endpoints("s")[0]), qt.IsTrue)
+	h.advice.Record(f.now, endpointName(1), advice.Advice{Quiet: time.Second}, false, 0)
+	c.Check(h.HasOther(f.now, h.Endpoints("s")[0]), qt.IsFalse)
+	c.Check(h.HasOther(f.now.Add(time.Second), h.Endpoints("s")[0]), qt.IsTrue)
+}
