process/forward: an endpoint's silence begins when its event is written

Callers who read slowly made a sound endpoint look silent: its stream was cut and run a second time, and the endpoint counted as failing. A stream with an event without a number was cut for silence although nothing could follow it.

Cause: the time limit for the next event began when an event was received, before it was written to the caller. Writing waits for as long as the caller doesn't read. And whether the stream could be resumed was looked at before the event was written that decides it.

Change: silence is watched only while the next event is awaited, from the moment the last one has been written. An event that comes just as its attempt is given up is not passed on; the stream is resumed before it.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -228,7 +228,10 @@
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "resumed with "+strconv.Quote(mediaType))
 	}
 	reader := event.NewReader(answer.Body)
-	for {
+	for first := true; ; first = false {
+		if !first && k.retriesLeft(k.runs) {
+			watch.restart(k.silenceLimit())
+		}
 		e, err := reader.Next()
 		if errors.Is(err, io.EOF) && k.lastEvent >= 0 && (continued || answer.Delimited) {
 			return balance.Succeeded, k.endStream(answer)
@@ -236,7 +239,10 @@
 		if err != nil {
 			return balance.Failed, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointLost, err)
 		}
-		k.recordProgress(outstanding, watch)
+		k.recordProgress(outstanding)
+		if !watch.stop() {
+			return balance.Failed, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointSilent, errNoProgress)
+		}
 		if e.ID >= 0 && e.ID <= k.lastEvent || !continued && e.Comment {
 			continue
 		}
@@ -266,18 +272,12 @@
 // eventStreamType is the media type of a stream of events.
 const eventStreamType = "text/event-stream"
 
-// recordProgress records that an event arrived. The next silence is watched if the stream
-// can be resumed.
-func (k *forwarding) recordProgress(outstanding *balance.OutstandingCall, watch *silenceWatch) {
+// recordProgress records that an event arrived.
+func (k *forwarding) recordProgress(outstanding *balance.OutstandingCall) {
 	k.countExecuted()
 	if ratio := outstanding.RecordEvent(time.Now()); ratio > 0 {
 		k.f.meter.Histogram("first_event_expected_ratio").Update(ratio)
 	}
-	if k.retriesLeft(k.runs) {
-		watch.restart(k.silenceLimit())
-		return
-	}
-	watch.stop()
 }
 
 // writeEvent writes one event to the caller, preceded by the answer's status and
--- a/internal/process/forward/silence_test.go
+++ b/internal/process/forward/silence_test.go
@@ -196,3 +196,55 @@
 	c.Assert(got.Body.String() == begin+rest, qt.IsTrue, qt.Commentf("%d bytes", got.Body.Len()))
 	c.Assert(env.receivers(), qt.Equals, "a")
 }
+
+// slowReader is a caller that reads nothing for a while before the given event.
+type slowReader struct {
+	*httptest.ResponseRecorder
+	before string
+	pause  time.Duration
+}
+
+func (r slowReader) Write(data []byte) (int, error) {
+	if strings.Contains(string(data), r.before) {
+		time.Sleep(r.pause)
+	}
+	return r.ResponseRecorder.Write(data)
+}
+
+// While a caller doesn't read, no event of a sound endpoint can be passed on. It must not
+// count as silence of the endpoint, which would be given up.
+func TestSlowReaderIsNoSilence(t *testing.T) {
+	c := qt.New(t)
+	env := newTestEnv(c, func(w http.ResponseWriter, r *http.Request) {
+		sendEventsWithPause(time.Second)(w, r)
+	}, sendEvents(3, 5, true))
+	reader := slowReader{httptest.NewRecorder(), "id: 2\n", longPause}
+	now := time.Now()
+	_, failure := env.forwarder.Serve(t.Context(), reader, &forward.Call{
+		ID: "1", Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{}, Body: []byte("x"),
+		Route:   &catalogue.Route{Kind: catalogue.Stream, Resumable: true, Attempts: 2, LatencyTarget: time.Second},
+		Service: &catalogue.Service{ID: "s"}, Arrived: now, Deadline: now.Add(8 * time.Second), LastEvent: -1,
+	})
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%+v", failure))
+	c.Assert(reader.Body.String(), qt.Equals, eventText(0, 5))
+	c.Assert(env.receivers(), qt.Equals, "a")
+}
+
+// After an event without a number no endpoint can go on with a stream, so that a silence
+// after it must not cut the stream.
+func TestSilenceAfterEventWithoutNumberIsWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	env := newTestEnv(c, func(w http.ResponseWriter, r *http.Request) {
+		sendEvents(0, 2, true)(w, r)
+		fmt.Fprint(w, "data: x\n\n")
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		time.Sleep(longPause)
+		sendEvents(3, 5, true)(w, r)
+	}, sendEvents(3, 5, true))
+	got, failure := env.serveLong("1", catalogue.Stream, 2)
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%+v", failure))
+	c.Assert(got.Body.String(), qt.Equals, eventText(0, 2)+"data: x\n\n"+eventText(3, 5))
+	c.Assert(env.receivers(), qt.Equals, "a")
+}
