process/forward: silent streams are logged as silent

Whoever read the log of a cut stream could not tell whether its endpoint had broken off or the host had given it up: both were `endpoint_lost`, with the host's own close as the error.

Cause: only unary answers and answers without a head had the reason `endpoint_silent`; the error of reading an event did not.

Change: it does. A test holds that silence is logged so and is no crash for the quarantine.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -105,7 +105,7 @@
 	}
 	k.runs++
 	if k.isStream() && answer.Status == http.StatusOK {
-		return k.forwardEvents(answer, outstanding, watch)
+		return k.forwardEvents(ctx, answer, outstanding, watch)
 	}
 	if k.started {
 		// Nothing but the stream's continuation may follow what the caller has got.
@@ -221,7 +221,7 @@
 }
 
 // forwardEvents passes a stream on, event by event.
-func (k *forwarding) forwardEvents(answer *endpoint.Answer, outstanding *balance.OutstandingCall, watch *silenceWatch) (balance.Result, *verdict.Error) {
+func (k *forwarding) forwardEvents(ctx context.Context, answer *endpoint.Answer, outstanding *balance.OutstandingCall, watch *silenceWatch) (balance.Result, *verdict.Error) {
 	// continued is false until a resumed stream goes on at the event after the last.
 	continued := k.lastEvent < 0
 	if mediaType, _, _ := mime.ParseMediaType(answer.Header.Get("Content-Type")); !continued && mediaType != eventStreamType {
@@ -237,11 +237,11 @@
 			return balance.Succeeded, k.endStream(answer)
 		}
 		if err != nil {
-			return balance.Failed, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointLost, err)
+			return balance.Failed, k.interrupted(ctx, err)
 		}
 		k.recordProgress(outstanding)
 		if !watch.stop() {
-			return balance.Failed, verdict.Wrap(verdict.MayHaveRun, verdict.EndpointSilent, errNoProgress)
+			return balance.Failed, k.interrupted(ctx, errNoProgress)
 		}
 		if e.ID >= 0 && e.ID <= k.lastEvent || !continued && e.Comment {
 			continue
--- a/internal/process/forward/silence_test.go
+++ b/internal/process/forward/silence_test.go
@@ -1,8 +1,10 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -248,3 +250,17 @@
 	c.Assert(got.Body.String(), qt.Equals, eventText(0, 2)+"data: x\n\n"+eventText(3, 5))
 	c.Assert(env.receivers(), qt.Equals, "a")
 }
+
+// Silence is no crash. It must be told apart from a broken connection in the log, and be
+// no evidence against the calls that an endpoint had.
+func TestSilenceIsLoggedAndIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	var log bytes.Buffer
+	env := newTestEnv(c, sendEventsWithPause(longPause), sendEvents(3, 5, true))
+	env.forwarder.Log = slog.New(slog.NewTextHandler(&log, nil))
+	_, failure := env.serveLong("1", catalogue.Stream, 2)
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%+v", failure))
+	c.Check(log.String(), qt.Contains, "endpoint_silent")
+	c.Check(strings.Contains(log.String(), "endpoint_lost"), qt.IsFalse)
+	c.Check(env.forwarder.Quarantine.Evidence(true).Crashes, qt.HasLen, 0)
+}
