process/advice: an endpoint that said so leaves until it is gone or stays

An endpoint that had said in an answer that it leaves got calls again after a minute, though it still shut down, where the platform said nothing of it: an endpoint cut off from the store. One that stayed got none for that minute, whatever it reported.

What it said now holds until a minute after the endpoint is no longer listed, for its incarnation only, or until its entry reports that it is ready with a newer sequence than the entry before. As an entry may have been on its way while the answer came, it counts only two seconds after the last such answer, and not within four seconds of trouble with the store. That the store had said so is still never undone.

Tests: TestLeavingHoldsForTheIncarnation checked that a minute is enough; it now checks an hour, and what is missing for a minute, as the rule has changed. On the code before it fails: the endpoint is open after an hour. TestEndpointThatSaysThatItLeavesIsReadyOnceItReportsSo fails without the report being read.

--- a/internal/process/advice/advice.go
+++ b/internal/process/advice/advice.go
@@ -3,9 +3,8 @@
 // # Leaving
 //
 // An endpoint that is about to shut down says so in its answers, often before the
-// platform does and at times instead of it. It gets no further calls. What it said
-// counts for longer than any endpoint takes to shut down;
-// one that still exists then was wrong, or has changed its mind.
+// platform does and at times instead of it. It gets no further calls until it is gone, or
+// is found to stay: as it gets no calls, it can't say so in an answer.
 //
 // # Quiet
 //
@@ -34,9 +33,9 @@
 )
 
 const (
-	// leavingDuration is how long an endpoint counts as leaving after it last said so.
-	// Endpoints shut down within seconds of that, some within many.
-	leavingDuration = time.Minute
+	// staleDuration is how long after an answer news of the endpoint may arrive that is older.
+	// A watch of the store takes 1.5 s.
+	staleDuration = 2 * time.Second
 	// maxQuiet bounds the time that an endpoint may name. It is longer than one needs to
 	// start again; one that named a longer time by mistake is asked once a minute.
 	maxQuiet = time.Minute
@@ -78,9 +77,10 @@
 
 // state is the latest advice of one endpoint.
 type state struct {
-	leavingUntil time.Time
-	// leavingSent is when the latest call was sent in whose answer it said that it leaves.
-	leavingSent time.Time
+	// leaving is set once it has said that it leaves. leavingSaid is when it last did, and
+	// leavingSent when that call was sent.
+	leaving                  bool
+	leavingSaid, leavingSent time.Time
 	// quiet is the time that ends last, latestQuiet that of the latest call.
 	quiet, latestQuiet quiet
 	// sent counts the calls sent since the end of quiet, while they are limited.
@@ -132,8 +132,8 @@
 	}
 	s := k.state(now, change.Endpoint)
 	if a.Leaving {
-		change.Leaving = !now.Before(s.leavingUntil)
-		s.leavingUntil, s.leavingSent = now.Add(leavingDuration), sent
+		change.Leaving = !s.leaving
+		s.leaving, s.leavingSaid, s.leavingSent = true, now, sent
 	}
 	if a.Quiet > 0 {
 		change.Quiet = s.recordQuiet(quiet{sent: sent, until: now.Add(min(a.Quiet, maxQuiet))})
@@ -179,16 +179,29 @@
 			next.recordQuiet(q)
 		}
 	}
-	if !s.leavingSent.Before(started) {
-		next.leavingUntil, next.leavingSent = s.leavingUntil, s.leavingSent
+	if s.leaving && !s.leavingSent.Before(started) {
+		next.leaving, next.leavingSaid, next.leavingSent = true, s.leavingSaid, s.leavingSent
 	}
 }
 
+// Stay records the news that an endpoint stays, and reports whether it no longer counts
+// as leaving. News that may be older than what the endpoint said itself don't count.
+func (k *Keeper) Stay(now time.Time, endpoint identity.Incarnation) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.endpoints[endpoint]
+	if s == nil || !s.leaving || now.Sub(s.leavingSaid) < staleDuration {
+		return false
+	}
+	s.leaving = false
+	return true
+}
+
 // Open reports whether an endpoint may get a call now.
 func (k *Keeper) Open(now time.Time, endpoint identity.Incarnation) bool {
 	k.mu.Lock()
 	s := k.endpoints[endpoint]
-	closed := s != nil && (now.Before(s.leavingUntil) || s.closedFor(now) > 0)
+	closed := s != nil && (s.leaving || s.closedFor(now) > 0)
 	k.mu.Unlock()
 	return !closed && k.Limits.Open(endpoint)
 }
@@ -199,7 +212,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.endpoints[endpoint]
-	return s == nil || !now.Before(s.leavingUntil) && !now.Before(s.quiet.until)
+	return s == nil || !s.leaving && !now.Before(s.quiet.until)
 }
 
 // closedFor returns for how long an endpoint that was quiet gets no further call.
@@ -237,11 +250,11 @@
 }
 
 // Leaving reports whether an endpoint has said that it is leaving.
-func (k *Keeper) Leaving(now time.Time, endpoint identity.Incarnation) bool {
+func (k *Keeper) Leaving(endpoint identity.Incarnation) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.endpoints[endpoint]
-	return s != nil && now.Before(s.leavingUntil)
+	return s != nil && s.leaving
 }
 
 // Counts returns how many of the endpoints that are listed have said that they are leaving,
@@ -253,7 +266,7 @@
 		if s.missing {
 			continue
 		}
-		if now.Before(s.leavingUntil) {
+		if s.leaving {
 			leaving++
 		}
 		if now.Before(s.quiet.until) {
--- a/internal/process/advice/advice_test.go
+++ b/internal/process/advice/advice_test.go
@@ -93,12 +93,33 @@
 	c.Assert(say(0), qt.IsTrue)
 	c.Assert(say(time.Second), qt.IsFalse)
 	k.Record(start.Add(2*time.Second), "a@1", advice.Advice{}, true, 2*time.Second)
-	k.Retain(start.Add(2*time.Second), map[identity.Incarnation]bool{"a@2": true})
-	c.Check(k.Leaving(start.Add(30*time.Second), "a@1"), qt.IsTrue)
-	c.Check(k.Open(start.Add(30*time.Second), "a@1"), qt.IsFalse)
-	c.Check(k.Open(start.Add(30*time.Second), "a@2"), qt.IsTrue)
-	c.Check(k.Leaving(start.Add(61*time.Second), "a@1"), qt.IsFalse)
-	c.Assert(say(62*time.Second), qt.IsTrue)
+	retain := func(at time.Duration, id identity.Incarnation) {
+		k.Retain(start.Add(at), map[identity.Incarnation]bool{id: true})
+	}
+	retain(time.Hour, "a@1")
+	c.Check(k.Open(start.Add(time.Hour), "a@1"), qt.IsFalse)
+	retain(time.Hour+30*time.Second, "a@2")
+	c.Check(k.Leaving("a@1"), qt.IsTrue)
+	c.Check(k.Open(start.Add(time.Hour+30*time.Second), "a@1"), qt.IsFalse)
+	c.Check(k.Open(start.Add(time.Hour+30*time.Second), "a@2"), qt.IsTrue)
+	retain(time.Hour+61*time.Second, "a@2")
+	c.Check(k.Leaving("a@1"), qt.IsFalse)
+	c.Assert(say(time.Hour+62*time.Second), qt.IsTrue)
+}
+
+// An endpoint that stays must get calls again, but news may be older than its answer.
+func TestEndpointThatStaysGetsCallsAgain(t *testing.T) {
+	c := qt.New(t)
+	k := advice.New(limit.New())
+	c.Check(k.Stay(start, "a"), qt.IsFalse)
+	for at := range 3 {
+		k.Record(start.Add(time.Duration(at)*time.Second), "a", advice.Advice{Leaving: true}, true, 0)
+	}
+	c.Check(k.Stay(start.Add(3900*time.Millisecond), "a"), qt.IsFalse)
+	c.Check(k.Open(start.Add(time.Hour), "a"), qt.IsFalse)
+	c.Check(k.Stay(start.Add(4*time.Second), "a"), qt.IsTrue)
+	c.Check(k.Open(start.Add(4*time.Second), "a"), qt.IsTrue)
+	c.Check(k.Stay(start.Add(5*time.Second), "a"), qt.IsFalse)
 }
 
 // An endpoint that is quiet and leaving starts again. The later incarnation must get calls
@@ -111,7 +132,7 @@
 	now := start.Add(4 * time.Second)
 	k.Record(now, "a@1", advice.Advice{Quiet: time.Minute, Leaving: true}, false, 3*time.Second)
 	c.Check(k.Open(now, "a@2"), qt.IsTrue)
-	c.Check(k.Leaving(now, "a@2"), qt.IsFalse)
+	c.Check(k.Leaving("a@2"), qt.IsFalse)
 	c.Check(k.Open(now, "a@1"), qt.IsFalse)
 }
 
@@ -126,7 +147,7 @@
 		quiet(k, 2*time.Second, "a@1", 10*time.Second)
 		k.Succeed(start.Add(3*time.Second), "a@1", "a@2", 1500*time.Millisecond)
 		c.Check(k.ClosedFor(start.Add(3*time.Second), "a@2"), qt.Equals, 9*time.Second)
-		c.Check(k.Leaving(start.Add(3*time.Second), "a@2"), qt.IsFalse)
+		c.Check(k.Leaving("a@2"), qt.IsFalse)
 		// Two calls that were sent to the earlier one by its name are answered now.
 		now := start.Add(4 * time.Second)
 		change := k.Record(now, "a@1", advice.Advice{Quiet: 20 * time.Second}, false, time.Second)
--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -237,7 +237,7 @@
 	defer b.mu.Unlock()
 	for _, s := range b.services[service] {
 		id := s.endpoint.Incarnation
-		if s.endpoint.Leaving || b.advice.Leaving(now, id) {
+		if s.endpoint.Leaving || b.advice.Leaving(id) {
 			continue
 		}
 		if closedFor := b.advice.ClosedFor(now, id); closedFor > 0 {
--- a/internal/process/forward/advice_test.go
+++ b/internal/process/forward/advice_test.go
@@ -99,7 +99,7 @@
 	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
 	c.Assert(got.Body.String(), qt.Equals, "b")
 	c.Assert(env.receivers(), qt.Equals, "ab")
-	c.Check(env.forwarder.Advice.Leaving(time.Now(), "a"), qt.IsFalse)
+	c.Check(env.forwarder.Advice.Leaving("a"), qt.IsFalse)
 	c.Check(env.forwarder.Advice.Open(time.Now(), "a"), qt.IsTrue)
 }
 
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -191,6 +191,9 @@
 		g.markLeaving(now, ended, "later start", item.Revision)
 		g.recordStart(now, previous.endpoint, e)
 	}
+	if previous.endpoint.Incarnation == e.Incarnation && e.Sequence > previous.endpoint.Sequence {
+		g.recordStay(now, e)
+	}
 	g.control.entries[item.Key] = entry{endpoint: e, revision: item.Revision}
 	delete(g.control.retained, item.Key)
 }
@@ -206,6 +209,17 @@
 	g.advice.Succeed(now, ended.Incarnation, next.Incarnation, age)
 }
 
+// recordStay tells the keeper of advice that an endpoint which had said that it leaves has
+// reported anew that it does not. Around a store outage the report may be of any age.
+func (g *Gateway) recordStay(now time.Time, e fleet.Endpoint) {
+	if e.Leaving || now.Sub(g.control.lastFailure) < outageGrace {
+		return
+	}
+	if g.advice.Stay(now, e.Incarnation) {
+		g.log.Info("endpoint_stays", "endpoint", e.Incarnation, "sequence", e.Sequence)
+	}
+}
+
 // handleRemovals marks the endpoints of removed entries as leaving. Around a store
 // outage an entry may have expired although its endpoint is alive, so the endpoint is
 // retained until it has had time to register again since the store last failed.
@@ -289,7 +303,7 @@
 // misdirected. That an endpoint has said so itself is not told to other hosts: a call
 // that it gets from them meanwhile is served, and tells them.
 func (g *Gateway) withLocalState(now time.Time, e fleet.Endpoint) fleet.Endpoint {
-	if _, leaving := g.control.leaving[e.Incarnation]; leaving || g.advice.Leaving(now, e.Incarnation) {
+	if _, leaving := g.control.leaving[e.Incarnation]; leaving || g.advice.Leaving(e.Incarnation) {
 		e.Leaving = true
 	}
 	if until, ok := g.control.misdirected[e.Incarnation]; ok && now.Before(until) {
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -211,7 +211,8 @@
 )
 
 // startWithEndpoints runs a gateway over a store with a configuration and three
-// endpoints. An endpoint's entry consists of its state and, after an @, of when it started.
+// endpoints. An endpoint's entry consists of its state and, after an @, of when it started
+// and, after a #, of its sequence.
 func startWithEndpoints(t *testing.T) (*qt.C, *fakeStore, *gateway.Gateway) {
 	c := qt.New(t)
 	s := newStore()
@@ -237,11 +238,13 @@
 			if string(data) == "unreadable" {
 				return fleet.Endpoint{}, errors.New("unreadable")
 			}
-			state, started, _ := strings.Cut(string(data), "@")
+			text, sequenceText, _ := strings.Cut(string(data), "#")
+			sequence, _ := strconv.ParseUint(sequenceText, 10, 64)
+			state, started, _ := strings.Cut(text, "@")
 			seconds, _ := strconv.Atoi(started)
 			return fleet.Endpoint{
 				Host: identity.Host(key), Incarnation: identity.Incarnation(key + started), Service: "s", Zone: "z", Slots: 1,
-				Started: time.Unix(int64(seconds), 0), Leaving: state == "draining",
+				Started: time.Unix(int64(seconds), 0), Sequence: sequence, Leaving: state == "draining",
 			}, nil
 		},
 	}, neighbours...)
@@ -553,6 +556,43 @@
 	waitForStates(c, g, "ready ready ready ready")
 }
 
+// An endpoint that has said that it is leaving counted as ready again after a minute. It
+// must do so once it reports later that it stays, and not for a report that may be older
+// than its answer, repeats its sequence or comes around an outage of the store.
+func TestEndpointThatSaysThatItLeavesIsReadyOnceItReportsSo(t *testing.T) {
+	c, s, g := startWithEndpoints(t)
+	f := g.Forwarder()
+	say := func() {
+		f.Advice.Record(time.Now(), "endpoints/1", advice.Advice{Leaving: true}, true, 0)
+		f.OnLeaving("endpoints/1")
+	}
+	last := 2
+	// unchanged sets an entry and checks that the endpoint still counts as leaving.
+	unchanged := func(entry string) {
+		c.Helper()
+		s.set("endpoints/1", entry)
+		last++
+		s.set(fmt.Sprint("endpoints/", last), "ready")
+		waitForStates(c, g, "ready leaving"+strings.Repeat(" ready", last-1))
+	}
+	say()
+	waitForStates(c, g, "ready leaving ready")
+	unchanged("ready#5")
+	time.Sleep(2200 * time.Millisecond)
+	unchanged("ready#5")
+	s.set("endpoints/1", "ready#6")
+	waitForStates(c, g, "ready ready"+strings.Repeat(" ready", last-1))
+	say()
+	waitForStates(c, g, "ready leaving"+strings.Repeat(" ready", last-1))
+	time.Sleep(2200 * time.Millisecond)
+	s.setDown(true)
+	time.Sleep(2 * reappear)
+	s.setDown(false)
+	unchanged("ready#7")
+	unchanged("draining#8")
+	unchanged("ready#9")
+}
+
 // Two endpoints start again. One had said before that it is leaving, one says so
 // afterwards, before the store tells of its start: that must not be forgotten. The clock
 // of a third tells a start long before, which proves nothing.
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -33,7 +33,7 @@
 	// Reclaimable is false for an on-demand host.
 	Reclaimable bool
 	// Leaving never returns to false for one incarnation, unless only the endpoint itself
-	// has said that it is leaving.
+	// has said so in an answer, and reports later that it stays.
 	Leaving bool
 	// Held is set while calls should not begin at the endpoint, since not all hosts can
 	// know its software version yet.
@@ -47,6 +47,8 @@
 	Slots int
 	// Software is the version of its software; empty if not reported.
 	Software identity.Software
+	// Sequence is higher the later the incarnation reported this; zero if unknown.
+	Sequence uint64
 	// Started is when the incarnation started by its own clock; zero if unknown.
 	Started time.Time
 	// FirstSeen is when this entry host first saw the incarnation.
