process/balance: 300 hosts and 40 quiet endpoints, with waits

The simulation of a large fleet had neither waits for connections nor answers on their way, so that it could not show a call that is sent to an endpoint after its host has learned that it is quiet. A test with both guards against that: 300 hosts, 100 endpoints, of which 40 refuse calls for eight seconds and name three; a quarter of the calls wait up to 400 ms for a connection.

Without asking again before a call is sent the test fails by calls sent to endpoints known to be quiet.

--- a/internal/process/balance/advice_test.go
+++ b/internal/process/balance/advice_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +28,16 @@
 	refusingUntil time.Time
 	named         time.Duration
 	calls, lost   int
+	// connect returns how long a call waits for a connection, and answer is how long the
+	// answer of an endpoint that refuses a call is on its way.
+	connect func() time.Duration
+	answer  time.Duration
+	// arrived counts the calls that reach endpoints while they refuse calls, early those of
+	// them that their host sent before it knew; unwanted are those that it sent although it
+	// knew that the endpoint is quiet. rechosen counts those that it did not send therefore.
+	arrived, early, unwanted, rechosen int
+	// delays lists how long after its arrival each call reached an endpoint that took it.
+	delays []time.Duration
 }
 
 type quietHost struct {
@@ -35,7 +47,20 @@
 	// until when one may still arrive and how many have arrived later.
 	quietUntil, graceUntil map[identity.Incarnation]time.Time
 	late                   map[identity.Incarnation]int
-	ends                   []quietCall
+	// told holds until when the host knows that an endpoint is quiet.
+	told    map[identity.Incarnation]time.Time
+	ends    []quietCall
+	waiting []*waitingCall
+}
+
+// waitingCall is a call that waits for a connection or, if refused is set, for the answer.
+type waitingCall struct {
+	balance.Call
+	choice      balance.Choice
+	outstanding *balance.OutstandingCall
+	arrived, at time.Time
+	refused     bool
+	attempts    int
 }
 
 type quietCall struct {
@@ -44,7 +69,7 @@
 }
 
 func newQuietFleet(hosts, endpoints, refusing int, named time.Duration) *quietFleet {
-	f := &quietFleet{now: time.Unix(1000, 0), service: catalogue.Service{ID: "s"}, refusing: refusing, named: named}
+	f := &quietFleet{now: time.Unix(1000, 0), service: catalogue.Service{ID: "s"}, refusing: refusing, named: named, connect: func() time.Duration { return 0 }}
 	var list []fleet.Endpoint
 	for i := range endpoints {
 		list = append(list, fleet.Endpoint{Incarnation: endpointName(i), Service: "s", Zone: identity.Zone(fmt.Sprint("z", i%6)), Slots: 32, FirstSeen: f.now})
@@ -55,7 +80,7 @@
 		b.SetEndpoints(list)
 		f.hosts = append(f.hosts, quietHost{
 			Balancer: b, advice: keeper, quietUntil: make(map[identity.Incarnation]time.Time),
-			graceUntil: make(map[identity.Incarnation]time.Time), late: make(map[identity.Incarnation]int),
+			graceUntil: make(map[identity.Incarnation]time.Time), late: make(map[identity.Incarnation]int), told: make(map[identity.Incarnation]time.Time),
 		})
 	}
 	return f
@@ -74,6 +99,11 @@
 				h.ends[0].End(f.now, balance.Succeeded)
 				h.ends = h.ends[1:]
 			}
+			waiting := h.waiting
+			h.waiting = nil
+			for _, w := range waiting {
+				f.advance(h, w)
+			}
 			if (f.now.UnixMilli()+int64(i)*10)%interval.Milliseconds() < step.Milliseconds() {
 				f.call(h)
 			}
@@ -84,27 +114,65 @@
 // call sends a call to up to as many endpoints as a forwarder does.
 func (f *quietFleet) call(h *quietHost) {
 	f.calls++
-	call := balance.Call{Service: &f.service}
-	for range 4 {
-		choice, found := h.Choose(f.now, call)
-		if !found {
-			break
-		}
-		id := choice.Endpoint.Incarnation
-		if f.now.After(h.graceUntil[id]) && f.now.Before(h.quietUntil[id]) {
-			h.late[id]++
-		}
-		outstanding := h.Start(f.now, choice, call)
-		if !f.refuses(id) {
-			h.ends = append(h.ends, quietCall{outstanding, f.now.Add(200 * time.Millisecond)})
-			return
-		}
-		outstanding.End(f.now, balance.Full)
-		h.advice.Record(f.now, id, advice.Advice{Quiet: f.named}, false, 0)
-		h.quietUntil[id], h.graceUntil[id] = f.now.Add(f.named), f.now.Add(500*time.Millisecond)
-		call.Avoid = append(call.Avoid, id)
+	w := &waitingCall{Call: balance.Call{Service: &f.service}, arrived: f.now}
+	f.choose(h, w)
+}
+
+func (f *quietFleet) choose(h *quietHost, w *waitingCall) {
+	choice, found := h.Choose(f.now, w.Call)
+	if !found || w.attempts == 4 {
+		f.lost++
+		return
+	}
+	w.choice, w.outstanding, w.refused = choice, h.Start(f.now, choice, w.Call), false
+	w.at = f.now.Add(f.connect())
+	f.advance(h, w)
+}
+
+// advance does what is due for a call.
+func (f *quietFleet) advance(h *quietHost, w *waitingCall) {
+	id := w.choice.Endpoint.Incarnation
+	switch {
+	case w.at.After(f.now):
+		h.waiting = append(h.waiting, w)
+	case w.refused:
+		w.outstanding.End(f.now, balance.Full)
+		h.advice.Record(f.now, id, advice.Advice{Quiet: f.named}, false, f.answer)
+		h.told[id] = f.now.Add(f.named)
+		w.Avoid = append(w.Avoid, id)
+		f.choose(h, w)
+	case !h.Permits(f.now, w.choice.Endpoint):
+		f.rechosen++
+		w.outstanding.End(f.now, balance.Abandoned)
+		w.Avoid = append(w.Avoid, id)
+		f.choose(h, w)
+	default:
+		f.send(h, w)
+	}
+}
+
+// send lets a call reach its endpoint.
+func (f *quietFleet) send(h *quietHost, w *waitingCall) {
+	id := w.choice.Endpoint.Incarnation
+	w.attempts++
+	if f.now.After(h.graceUntil[id]) && f.now.Before(h.quietUntil[id]) {
+		h.late[id]++
 	}
-	f.lost++
+	if f.now.Before(h.told[id]) {
+		f.unwanted++
+	}
+	if !f.refuses(id) {
+		h.ends = append(h.ends, quietCall{w.outstanding, f.now.Add(200 * time.Millisecond)})
+		f.delays = append(f.delays, f.now.Sub(w.arrived))
+		return
+	}
+	f.arrived++
+	if f.now.Before(h.quietUntil[id]) {
+		f.early++
+	}
+	h.quietUntil[id], h.graceUntil[id] = f.now.Add(f.named), f.now.Add(500*time.Millisecond)
+	w.refused, w.at = true, f.now.Add(f.answer)
+	f.advance(h, w)
 }
 
 func (f *quietFleet) refuses(id identity.Incarnation) bool {
@@ -135,6 +203,39 @@
 	c.Logf("%d of %d calls were refused", f.lost, f.calls)
 }
 
+// As above, where the answers take a while and a quarter of the calls wait for a connection,
+// up to 400 ms. No call may be sent to an endpoint that the host knows to be quiet, and few
+// calls reach the 40 at all. Callers are served by the others, and soon.
+func TestCallsOfALargeFleetThatWaitForConnectionsKeepToQuietEndpoints(t *testing.T) {
+	c := qt.New(t)
+	f := newQuietFleet(300, 100, 40, 3*time.Second)
+	random := rand.New(rand.NewPCG(1, 2))
+	f.connect = func() time.Duration {
+		if random.IntN(4) > 0 {
+			return 0
+		}
+		return time.Duration(random.IntN(400)) * time.Millisecond
+	}
+	f.answer = 50 * time.Millisecond
+	f.refusingUntil = f.now.Add(8 * time.Second)
+	f.run(10, 12*time.Second)
+	for i := range f.hosts {
+		for id, n := range f.hosts[i].late {
+			c.Check(n <= 2, qt.IsTrue, qt.Commentf("host %d sent %d calls to %s, which wanted none", i, n, id))
+		}
+	}
+	slices.Sort(f.delays)
+	tail := f.delays[len(f.delays)*99/100]
+	c.Logf("%d calls, %d refused to their callers; %d reached endpoints that refuse calls, %d of them early, and %d were not sent there; the hundredth that waits longest reached an endpoint after %v",
+		f.calls, f.lost, f.arrived, f.early, f.rechosen, tail)
+	c.Check(f.unwanted, qt.Equals, 0)
+	c.Check(f.rechosen > 0, qt.IsTrue)
+	// Each host may ask each of the 40 once in three seconds.
+	c.Check(f.arrived-f.early <= 300*40*3, qt.IsTrue)
+	c.Check(float64(f.lost) <= 0.01*float64(f.calls), qt.IsTrue)
+	c.Check(tail <= time.Second, qt.IsTrue)
+}
+
 // All endpoints of a service are quiet at once: nothing reaches them, and the calls are
 // told for how long.
 func TestServiceOfQuietEndpointsIsClosed(t *testing.T) {
