process/gateway: operators see why an endpoint gets no calls

GET /endpoints beside /metrics lists the endpoints of a host with the reason for which each gets none or few: leaving by its own answer or otherwise, quiet and for how long, or a limit. endpoint_quiet logs the time that is kept to beside the one that was named. New: endpoints_leaving and endpoint_leaving_answers_total. The test of the page did not exist before, and the page neither.

--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -132,9 +132,10 @@
 	}
 	if change.Quiet {
 		k.f.meter.Counter("endpoint_quiet_total").Inc()
-		k.f.Log.Info("endpoint_quiet", "endpoint", id, "for", k.advice.Quiet, "request", k.ID)
+		k.f.Log.Info("endpoint_quiet", "endpoint", id, "for", k.f.Advice.ClosedFor(time.Now(), id), "named", k.advice.Quiet, "request", k.ID)
 	}
 	if change.Leaving {
+		k.f.meter.Counter("endpoint_leaving_answers_total").Inc()
 		k.f.OnLeaving(id)
 	}
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -178,6 +178,7 @@
 	g.speed = speed.New()
 	g.advice = advice.New(limit.New(limit.WithClock(g.clock.Now)))
 	m.Gauge("endpoints_limited", func() float64 { return float64(g.limitedEndpoints()) })
+	m.Gauge("endpoints_leaving", func() float64 { return float64(g.leavingEndpoints()) })
 	m.Gauge("endpoints_quiet", func() float64 {
 		_, quiet := g.advice.Counts(time.Now())
 		return float64(quiet)
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -593,6 +594,32 @@
 	unchanged("ready#9")
 }
 
+// Operators must be able to see why an endpoint gets nothing from a host.
+func TestOperatorsSeeWhyAnEndpointGetsNoCalls(t *testing.T) {
+	c, s, g := startWithEndpoints(t)
+	s.set("endpoints/3", "draining")
+	s.set("endpoints/4", "ready")
+	waitForStates(c, g, "ready ready ready leaving ready")
+	f := g.Forwarder()
+	record := func(id identity.Incarnation, a advice.Advice) { f.Advice.Record(time.Now(), id, a, false, 0) }
+	record("endpoints/0", advice.Advice{Leaving: true})
+	record("endpoints/1", advice.Advice{Quiet: 50 * time.Second})
+	record("endpoints/2", advice.Advice{Limited: true, PerSecond: 0.5})
+	router := mux.NewRouter()
+	g.RegisterOperatorRoutes(router)
+	answer := httptest.NewRecorder()
+	router.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/endpoints", nil))
+	c.Assert(answer.Code, qt.Equals, http.StatusOK)
+	lines := strings.Split(strings.TrimSpace(answer.Body.String()), "\n")
+	c.Assert(lines, qt.HasLen, 6)
+	for i, want := range []string{
+		"none: leaving, by its own answer", `none: quiet for (50|49)\.?\d*s`, `few: limit of 0\.5 a second for all hosts`,
+		"none: leaving, or its address answers for another", "yes",
+	} {
+		c.Check(lines[i+1], qt.Matches, fmt.Sprint("endpoints/", i, ` +s +z .* `, want))
+	}
+}
+
 // Two endpoints start again. One had said before that it is leaving, one says so
 // afterwards, before the store tells of its start: that must not be forgotten. The clock
 // of a third tells a start long before, which proves nothing.
