process/advice: what says ready within a minute may still leave

An endpoint that had said in its answers that it leaves would have got calls again when its entry in the store, two seconds later, still said that it is ready with a newer sequence: entries are renewed about each second, and some endpoints never report there that they leave, or do so late.

--- a/internal/process/advice/advice.go
+++ b/internal/process/advice/advice.go
@@ -33,9 +33,10 @@
 )
 
 const (
-	// staleDuration is how long after an answer news of the endpoint may arrive that is older.
-	// A watch of the store takes 1.5 s.
-	staleDuration = 2 * time.Second
+	// minLeaving is for how long an endpoint counts as leaving after it last said so,
+	// whatever its entry says: some never change it before they shut down, most within
+	// seconds, some within many.
+	minLeaving = time.Minute
 	// maxQuiet bounds the time that an endpoint may name. It is longer than one needs to
 	// start again; one that named a longer time by mistake is asked once a minute.
 	maxQuiet = time.Minute
@@ -185,12 +186,12 @@
 }
 
 // Stay records the news that an endpoint stays, and reports whether it no longer counts
-// as leaving. News that may be older than what the endpoint said itself don't count.
+// as leaving. News within minLeaving of what the endpoint said itself don't count.
 func (k *Keeper) Stay(now time.Time, endpoint identity.Incarnation) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.endpoints[endpoint]
-	if s == nil || !s.leaving || now.Sub(s.leavingSaid) < staleDuration {
+	if s == nil || !s.leaving || now.Sub(s.leavingSaid) < minLeaving {
 		return false
 	}
 	s.leaving = false
