process/origin, process/gateway: the record names all versions that serve

- A version that came back counted as gone for 30 s, or as recorded from before, so that it was not held and hosts that read the record knew one version alone.
Only versions that the record names as serving count as recorded, a version that leaves must be recorded again, and the later of two times at which it was gone is kept.
- A host that learned of both versions before it read the record did not hold the new one, as the read changed nothing that was published.
- A record that can't be read passed for a confirmation.
- Holds followed the agreed time of day, which may be set; they last for elapsed time now.
- Without the store, hosts agreed by equal revisions alone, also if the store answered others; each tells now that it does not answer.
A host that was cut off for more than 45 s counted itself as the majority.

Tests that writes are conditional and that callers go by no earlier read were missing; they fail without either. Two tests that depended on timing don't any more, and the one of a hold checks its lower bound too.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -172,7 +172,7 @@
 		return float64(calls)
 	})
 	g.origins.streams = origin.NewStreams()
-	g.origins.versions = origin.NewVersions(g.clock.Now)
+	g.origins.versions = origin.NewVersions(g.clock.Now, func() time.Duration { return time.Since(g.started) })
 	g.usage = usage.New(g.incarnation, self.Zone, bounds.UsageWindow)
 	g.recorder = usage.NewRecorder(platform.Store, usagePrefix, g.usage.Total)
 	g.speed = speed.New()
--- a/internal/process/gateway/origins.go
+++ b/internal/process/gateway/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -46,6 +47,11 @@
 	versions *origin.Versions
 	// lookups joins the concurrent reads of one shard.
 	lookups singleflight.Group
+	// hosts is how many hosts there were when the store last answered.
+	hosts atomic.Int64
+	// confirmed is when confirmVersions last read the record. The lookup that joins its
+	// callers owns it.
+	confirmed time.Time
 }
 
 // streamRetention returns for how long streams must be remembered by the configuration.
@@ -97,6 +103,8 @@
 type storedVersions struct {
 	data     string
 	revision keyvalue.Revision
+	// delay is how long this host leaves it to others to record a version.
+	delay time.Duration
 }
 
 // keep writes the record on the leader. Other hosts read it while it lacks a version, and
@@ -122,13 +130,19 @@
 		g.log.Info("versions_not_read", "error", err)
 		return false
 	}
-	since, unrecorded := g.origins.versions.Unrecorded()
-	return unrecorded && g.clock.Now().Sub(since) >= recordDelay+rand.N(recordDelay)
+	age, unrecorded := g.origins.versions.Unrecorded()
+	if s.delay == 0 {
+		s.delay = recordDelay + rand.N(recordDelay)
+	}
+	return unrecorded && age >= s.delay
 }
 
 // read reads the record and merges it.
 func (s *storedVersions) read(ctx context.Context, g *Gateway) error {
 	value, err := g.readVersions(ctx)
+	if errors.Is(err, errVersionsUnreadable) {
+		err = nil
+	}
 	if err == nil {
 		s.data, s.revision = string(value.Data), value.Revision
 	}
@@ -241,18 +255,23 @@
 	if err != nil && !errors.Is(err, keyvalue.ErrAbsent) {
 		return value, err
 	}
+	g.origins.hosts.Store(int64(g.neighbours.HostCount(hostCountWindow)))
 	if err := g.mergeVersions(value.Data); err != nil {
 		g.log.Warn("versions_unreadable", "revision", value.Revision, "error", err)
+		return value, errVersionsUnreadable
 	}
 	return value, nil
 }
 
-// mergeVersions merges the record of versions, and ends the holding of endpoints whose
-// version it contains.
+// errVersionsUnreadable is returned with the record that can't be read, which confirms
+// nothing and may be replaced.
+var errVersionsUnreadable = errors.New("gateway: the record of versions can't be read")
+
+// mergeVersions merges the record of versions. What it contains decides which endpoints
+// are held.
 func (g *Gateway) mergeVersions(data []byte) error {
-	_, before := g.origins.versions.Unrecorded()
-	err := g.origins.versions.Merge(data)
-	if _, after := g.origins.versions.Unrecorded(); before && !after {
+	changed, err := g.origins.versions.Merge(data)
+	if changed {
 		g.onMirrorChange(g.platform.EndpointPrefix)
 	}
 	return err
@@ -265,18 +284,32 @@
 		_, err, _ := g.origins.lookups.Do(versionsKey, func() (any, error) {
 			executed = true
 			// The read is not that of one caller only, who may leave.
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), originTimeout)
+			ctx := context.WithoutCancel(ctx)
+			pause.For(ctx, g.confirmInterval()-time.Since(g.origins.confirmed))
+			g.origins.confirmed = time.Now()
+			ctx, cancel := context.WithTimeout(ctx, originTimeout)
 			defer cancel()
 			_, err := g.readVersions(ctx)
 			return nil, err
 		})
 		// The first read that a caller joins may have begun before it, the second can't.
-		if executed || joined {
+		if executed || joined || err != nil {
 			return err
 		}
 	}
 }
 
+// confirmInterval returns the shortest period of reading the record for callers: after a
+// kill of all hosts these take up streams at each of them. Together the hosts read it as
+// often as the store allows writes, which is a fraction of the reads that it allows.
+func (g *Gateway) confirmInterval() time.Duration {
+	if g.bounds.StoreWritesPerSecond <= 0 {
+		return 0
+	}
+	seconds := float64(g.neighbours.HostCount(hostCountWindow)) / g.bounds.StoreWritesPerSecond
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // holdUnrecorded sets Held on the endpoints that should not begin streams yet, and counts
 // them. It concerns services whose streams may be resumed.
 func (g *Gateway) holdUnrecorded(endpoints []fleet.Endpoint) int {
@@ -355,9 +388,9 @@
 	return only, true
 }
 
-// agreesWithOthers reports whether most hosts have lately told that they know of no later
-// change of the endpoints than this one. Otherwise, when the store does not answer, it may
-// answer others, and have told them of new versions.
+// agreesWithOthers reports whether most hosts have lately told that the store does not
+// answer them either, and that they know of no later change of the endpoints than this one.
+// Otherwise it may have told others of new versions.
 func (g *Gateway) agreesWithOthers(now time.Time) bool {
 	own := g.mirror.LatestRevision(g.platform.EndpointPrefix)
 	hosts := 1
@@ -369,11 +402,11 @@
 		if h.Hosts > 0 {
 			maxAge = maxAggregateAge
 		}
-		if now.Sub(h.ReceivedAt) <= maxAge {
+		if h.StoreFailing && now.Sub(h.ReceivedAt) <= maxAge {
 			hosts += h.HostCount()
 		}
 	}
-	return 2*hosts > g.neighbours.HostCount(hostCountWindow)
+	return 2*hosts > max(g.neighbours.HostCount(hostCountWindow), int(g.origins.hosts.Load()))
 }
 
 // findStored looks for a stream in the store. What has just begun may not have been
--- a/internal/process/gateway/origins_test.go
+++ b/internal/process/gateway/origins_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -188,13 +190,8 @@
 	waitForOrigin(c, startVersions(c, s), "one", "v1")
 }
 
-// A host stood still, or its watch of the store hangs and no other host tells it, while
-// endpoints of a new version joined. A stream that began there through another host must not go on at the only version
-// that this host has heard of.
-func TestStreamDoesNotGoOnAtAHostThatMissedItsVersion(t *testing.T) {
-	c := qt.New(t)
-	s := storeWithVersions("v1", "v1")
-	first := startVersions(c, s)
+// behindOver returns a client whose watches hang, so that its host misses changes.
+func behindOver(s *fakeStore) keyvalue.Store {
 	client := s.client()
 	client.Changes = func(ctx context.Context, _ string, _ keyvalue.Revision, _ time.Duration) (keyvalue.Changes, error) {
 		<-ctx.Done()
@@ -207,16 +204,24 @@
 		}
 		return list(ctx, prefix)
 	}
-	behind, _ := startVersionsOver(c, s, client)
+	return client
+}
+
+// A host stood still, or its watch of the store hangs and no other host tells it, while
+// endpoints of a new version joined. A stream that began there through another host must not go on at the only version
+// that this host has heard of.
+func TestStreamDoesNotGoOnAtAHostThatMissedItsVersion(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v1")
+	first := startVersions(c, s)
+	behind, _ := startVersionsOver(c, s, behindOver(s))
 	waitForOrigin(c, behind, "unknown", "v1")
 	s.set("endpoints/c", "v2")
 	waitUntil(c, "v2 begins streams", func() bool { return len(first.Endpoints()) == 3 && len(held(first)) == 0 })
 	begin(first, "one", "v1")
 	begin(first, "two", "v2")
 	c.Assert(behind.Endpoints(), qt.HasLen, 2)
-	software, failure := resume(behind, "two")
-	c.Assert(failure == nil, qt.IsTrue)
-	c.Assert(software, qt.Equals, identity.Software("v2"))
+	waitForOrigin(c, behind, "two", "v2")
 	waitForOrigin(c, behind, "one", "v1")
 }
 
@@ -292,6 +297,8 @@
 	s.set("endpoints/b", "v2")
 	waitUntil(c, "v2 is known", func() bool { return len(g.Endpoints()) == 2 })
 	c.Assert(held(g), qt.DeepEquals, []identity.Software{"v2"})
+	time.Sleep(2 * time.Second)
+	c.Assert(held(g), qt.DeepEquals, []identity.Software{"v2"})
 	waitUntil(c, "v2 is used all the same", func() bool { return len(held(g)) == 0 })
 	s.mu.Lock()
 	s.readOnly = ""
@@ -299,9 +306,10 @@
 	waitUntil(c, "v2 is recorded", func() bool { return s.recorded("v2") })
 	s.set("endpoints/c", "v3")
 	waitUntil(c, "v3 is used once it is recorded", func() bool {
-		recorded := s.recorded("v3")
-		c.Assert(recorded || len(g.Endpoints()) < 3 || len(held(g)) == 1, qt.IsTrue)
-		return recorded && len(g.Endpoints()) == 3 && len(held(g)) == 0
+		endpoints := g.Endpoints()
+		used := len(endpoints) == 3 && !slices.ContainsFunc(endpoints, func(e fleet.Endpoint) bool { return e.Held })
+		c.Assert(!used || s.recorded("v3"), qt.IsTrue)
+		return used
 	})
 }
 
@@ -313,3 +321,142 @@
 	startVersions(c, s)
 	waitUntil(c, "both versions are recorded", func() bool { return s.recorded("v1") && s.recorded("v2") })
 }
+
+// A host starts in a release: it learns of both versions at once, and then reads from the
+// record which is the new one.
+func TestHostThatStartsInAReleaseHoldsTheNewVersion(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v2")
+	s.mu.Lock()
+	s.revision++
+	s.own["dandelionlift/versions"] = keyvalue.Value{Key: "dandelionlift/versions", Data: []byte(`{"s":{"v1":0}}`), Revision: s.revision}
+	s.readOnly = "dandelionlift/versions"
+	s.mu.Unlock()
+	read := make(chan struct{}, 100)
+	client := s.client()
+	get := client.Get
+	client.Get = func(ctx context.Context, key string) (keyvalue.Value, error) {
+		if key == "dandelionlift/versions" {
+			time.Sleep(300 * time.Millisecond)
+			defer func() { read <- struct{}{} }()
+		}
+		return get(ctx, key)
+	}
+	g, _ := startVersionsOver(c, s, client)
+	<-read
+	time.Sleep(500 * time.Millisecond)
+	c.Check(held(g), qt.HasLen, 1)
+}
+
+// What is in the record can't be read: it confirms nothing.
+func TestUnreadableRecordConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v1")
+	g, _ := startVersionsOver(c, s, s.client(), freeAddress(c))
+	waitForOrigin(c, g, "unknown", "v1")
+	s.mu.Lock()
+	s.revision++
+	s.own["dandelionlift/versions"] = keyvalue.Value{Key: "dandelionlift/versions", Data: []byte(`{"s":`), Revision: s.revision}
+	s.readOnly = "dandelionlift/versions"
+	s.mu.Unlock()
+	_, failure := resume(g, "unknown")
+	c.Check(failure == nil, qt.IsFalse)
+}
+
+// A host is cut off from the store and from the others for longer than it counts the others.
+// It must not take itself for the only host.
+func TestHostThatIsCutOffForLongIsNotTheMajority(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v1")
+	g, _ := startVersionsOver(c, s, s.client(), freeAddress(c))
+	waitForOrigin(c, g, "unknown", "v1")
+	s.setDown(true)
+	_, failure := resume(g, "unknown")
+	c.Assert(failure == nil, qt.IsFalse)
+	time.Sleep(46 * time.Second)
+	software, failure := resume(g, "unknown")
+	c.Check(failure == nil, qt.IsFalse, qt.Commentf("goes on at %q", software))
+}
+
+// The store refuses one host alone. That others report no later change does not show that
+// the store answers nobody.
+func TestAgreementOfHostsThatTheStoreAnswers(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v1")
+	first, address := startVersionsOver(c, s, s.client())
+	client := behindOver(s)
+	get := client.Get
+	refusing := make(chan struct{})
+	client.Get = func(ctx context.Context, key string) (keyvalue.Value, error) {
+		select {
+		case <-refusing:
+			return keyvalue.Value{}, keyvalue.ErrUnavailable
+		default:
+			return get(ctx, key)
+		}
+	}
+	behind, _ := startVersionsOver(c, s, client, address)
+	waitForOrigin(c, behind, "unknown", "v1")
+	time.Sleep(time.Second)
+	close(refusing)
+	s.set("endpoints/c", "v2")
+	waitUntil(c, "v2 begins streams", func() bool { return len(first.Endpoints()) == 3 && len(held(first)) == 0 })
+	begin(first, "two", "v2")
+	software, failure := resume(behind, "two")
+	c.Check(failure != nil || software == "v2", qt.IsTrue, qt.Commentf("goes on at %q", software))
+}
+
+// Another host has recorded a version of which this one has not heard. Writing the record
+// must not drop it.
+func TestRecordKeepsVersionsThatOthersWrote(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1")
+	startVersions(c, s)
+	waitUntil(c, "v1 is recorded", func() bool { return s.recorded("v1") })
+	s.mu.Lock()
+	s.revision++
+	s.own["dandelionlift/versions"] = keyvalue.Value{Key: "dandelionlift/versions", Data: []byte(`{"s":{"v1":0,"v2":0}}`), Revision: s.revision}
+	s.mu.Unlock()
+	s.set("endpoints/b", "v3")
+	waitUntil(c, "v3 is recorded", func() bool { return s.recorded("v3") })
+	c.Assert(s.recorded("v2"), qt.IsTrue)
+}
+
+// Two callers take up streams at the same time. The second must not go by a record that was
+// read before it came.
+func TestCallerDoesNotGoByAnEarlierReadOfTheRecord(t *testing.T) {
+	c := qt.New(t)
+	s := storeWithVersions("v1", "v1")
+	first := startVersions(c, s)
+	client := behindOver(s)
+	get := client.Get
+	var slow atomic.Bool
+	read, proceed := make(chan struct{}, 10), make(chan struct{})
+	client.Get = func(ctx context.Context, key string) (keyvalue.Value, error) {
+		value, err := get(ctx, key)
+		if slow.Load() && key == "dandelionlift/versions" {
+			read <- struct{}{}
+			<-proceed
+		}
+		return value, err
+	}
+	behind, _ := startVersionsOver(c, s, client)
+	waitForOrigin(c, behind, "unknown", "v1")
+	slow.Store(true)
+	var group sync.WaitGroup
+	group.Go(func() { resume(behind, "unknown") })
+	<-read
+	s.set("endpoints/c", "v2")
+	waitUntil(c, "v2 begins streams", func() bool { return len(first.Endpoints()) == 3 && len(held(first)) == 0 })
+	begin(first, "two", "v2")
+	s.waitForWrite(c, "dandelionlift/streams/", 0)
+	var software identity.Software
+	var failure *verdict.Error
+	group.Go(func() { software, failure = resume(behind, "two") })
+	time.Sleep(50 * time.Millisecond)
+	close(proceed)
+	group.Wait()
+	c.Assert(failure == nil, qt.IsTrue)
+	c.Assert(software, qt.Equals, identity.Software("v2"))
+}
--- a/internal/process/gateway/register.go
+++ b/internal/process/gateway/register.go
@@ -95,7 +95,7 @@
 	if err := g.readQuarantine(ctx); err != nil {
 		return err
 	}
-	if _, err := g.readVersions(ctx); err != nil {
+	if _, err := g.readVersions(ctx); err != nil && !errors.Is(err, errVersionsUnreadable) {
 		return err
 	}
 	listing, err := g.platform.Store.Range(ctx, hostsPrefix)
--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -40,6 +40,7 @@
 		Limits:       g.advice.Limits.Reported(g.neighbours.IsRelay()),
 		Quarantine:   g.quarantine.Evidence(g.neighbours.Relayed() && g.neighbours.IsRelay()),
 		WatchesStore: g.neighbours.IsRelay() && !g.storeFailing(),
+		StoreFailing: g.storeFailing(),
 	}
 	if len(r.Limits) > 0 && g.neighbours.Relayed() && g.neighbours.IsRelay() {
 		r.ZoneHosts = g.neighbours.ZoneHosts()
--- a/internal/process/neighbour/report.go
+++ b/internal/process/neighbour/report.go
@@ -93,6 +93,8 @@
 	Relay bool `json:"rl,omitempty"`
 	// WatchesStore is set if the sender watches the store and can serve copies of it.
 	WatchesStore bool `json:"relay,omitempty"`
+	// StoreFailing is set while the store does not answer the sender.
+	StoreFailing bool `json:"lost,omitempty"`
 	// EvidenceOnly is set in a message to another zone that holds nothing but Quarantine.
 	EvidenceOnly bool `json:"evid,omitempty"`
 	// Stopping is set in the last report of a host that is stopping.
@@ -120,7 +122,7 @@
 func aggregate(own Report, others []ReceivedReport) Report {
 	total := Report{
 		Host: own.Host, Incarnation: own.Incarnation, Address: own.Address, Zone: own.Zone, Sequence: own.Sequence,
-		Hosts: 1, Revisions: own.Revisions, UsageBegun: own.UsageBegun, Leader: own.Leader, Leaving: own.Leaving, Quarantine: own.Quarantine, Limits: own.Limits,
+		Hosts: 1, Revisions: own.Revisions, StoreFailing: own.StoreFailing, UsageBegun: own.UsageBegun, Leader: own.Leader, Leaving: own.Leaving, Quarantine: own.Quarantine, Limits: own.Limits,
 		TokenDemand: cloneMap(own.TokenDemand), ServiceDemand: cloneMap(own.ServiceDemand), Loads: cloneMap(own.Loads), Usage: cloneUsage(own.Usage),
 		ServiceDemandSquares: cloneMap(own.ServiceDemandSquares), Speeds: cloneMap(own.Speeds),
 	}
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -12,13 +12,31 @@
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
-// testClock is a clock that the test advances.
-type testClock struct{ time.Time }
+// testClock is a clock that the test advances, or sets without time passing.
+type testClock struct {
+	time.Time
+	elapsed time.Duration
+}
+
+func newClock() *testClock { return &testClock{Time: time.Unix(1_000_000, 0)} }
+
+func (c *testClock) now() time.Time      { return c.Time }
+func (c *testClock) set(d time.Duration) { c.Time = c.Add(d) }
+
+func (c *testClock) advance(d time.Duration) {
+	c.set(d)
+	c.elapsed += d
+}
 
-func newClock() *testClock { return &testClock{time.Unix(1_000_000, 0)} }
+func (c *testClock) versions() *origin.Versions {
+	return origin.NewVersions(c.now, func() time.Duration { return c.elapsed })
+}
 
-func (c *testClock) now() time.Time          { return c.Time }
-func (c *testClock) advance(d time.Duration) { c.Time = c.Add(d) }
+// mergeError merges a record and returns only the error.
+func mergeError(v *origin.Versions, data []byte) error {
+	_, err := v.Merge(data)
+	return err
+}
 
 // All streams of a second of a large host must be found in the stored form, each at its
 // own origin.
@@ -62,8 +80,8 @@
 		_, found, _ := origin.FindStored([]byte(data), "1")
 		c.Check(found, qt.IsFalse, qt.Commentf("%s", data))
 	}
-	v := origin.NewVersions(newClock().now)
-	c.Check(v.Merge([]byte(`{"s":"v1"}`)), qt.IsNotNil)
+	v := newClock().versions()
+	c.Check(mergeError(v, []byte(`{"s":"v1"}`)), qt.IsNotNil)
 	_, complete := v.Recent("s")
 	c.Check(complete, qt.IsFalse)
 }
@@ -103,7 +121,7 @@
 	c := qt.New(t)
 	clock := newClock()
 	const longest = 5 * time.Minute
-	s, v := origin.NewStreams(origin.WithClock(clock.now)), origin.NewVersions(clock.now)
+	s, v := origin.NewStreams(origin.WithClock(clock.now)), clock.versions()
 	s.SetRetention(origin.Retention(longest))
 	v.SetRetention(origin.Retention(longest))
 	s.Record("1", origin.Origin{Service: "s", Software: "v1"})
@@ -131,8 +149,8 @@
 func TestVersionsAreRecentForAsLongAsStreamsLast(t *testing.T) {
 	c := qt.New(t)
 	clock := newClock()
-	v := origin.NewVersions(clock.now)
-	c.Assert(v.Merge(nil), qt.IsNil)
+	v := clock.versions()
+	c.Assert(mergeError(v, nil), qt.IsNil)
 	recent := func() []identity.Software {
 		list, complete := v.Recent("s")
 		c.Assert(complete, qt.IsTrue)
@@ -159,19 +177,19 @@
 func TestVersionsOutlastARestart(t *testing.T) {
 	c := qt.New(t)
 	clock := newClock()
-	before := origin.NewVersions(clock.now)
+	before := clock.versions()
 	before.Observe(endpoints("v1"))
 	stored, err := before.Document()
 	c.Assert(err, qt.IsNil)
 	clock.advance(3 * time.Second)
 	for _, observedFirst := range []bool{false, true} {
-		after := origin.NewVersions(clock.now)
+		after := clock.versions()
 		if observedFirst {
 			after.Observe(endpoints("v2"))
 		}
 		_, complete := after.Recent("s")
 		c.Check(complete, qt.IsFalse)
-		c.Assert(after.Merge(stored), qt.IsNil)
+		c.Assert(mergeError(after, stored), qt.IsNil)
 		after.Observe(endpoints("v2"))
 		list, complete := after.Recent("s")
 		c.Check(complete, qt.IsTrue)
@@ -185,20 +203,20 @@
 	c := qt.New(t)
 	clock := newClock()
 	v1, v2 := origin.Origin{Service: "s", Software: "v1"}, origin.Origin{Service: "s", Software: "v2"}
-	v := origin.NewVersions(clock.now)
+	v := clock.versions()
 	v.Observe(endpoints("v1", "v1"))
 	_, unrecorded := v.Unrecorded()
 	c.Check(v.Held(v1) || unrecorded, qt.IsFalse)
 	clock.advance(time.Minute)
 	v.Observe(endpoints("v1", "v2"))
-	since, unrecorded := v.Unrecorded()
+	age, unrecorded := v.Unrecorded()
 	c.Check(unrecorded, qt.IsTrue)
-	c.Check(since, qt.Equals, clock.now().Add(-time.Minute))
+	c.Check(age, qt.Equals, time.Minute)
 	c.Check(v.Held(v1), qt.IsFalse)
 	c.Check(v.Held(v2), qt.IsTrue)
-	c.Assert(v.Merge([]byte(`{"s":{"v1":0}}`)), qt.IsNil)
+	c.Assert(mergeError(v, []byte(`{"s":{"v1":0}}`)), qt.IsNil)
 	c.Check(v.Held(v2), qt.IsTrue)
-	c.Assert(v.Merge([]byte(`{"s":{"v1":0,"v2":0}}`)), qt.IsNil)
+	c.Assert(mergeError(v, []byte(`{"s":{"v1":0,"v2":0}}`)), qt.IsNil)
 	_, unrecorded = v.Unrecorded()
 	c.Check(v.Held(v2) || unrecorded, qt.IsFalse)
 }
@@ -209,10 +227,10 @@
 	c := qt.New(t)
 	clock := newClock()
 	v1, v2 := origin.Origin{Service: "s", Software: "v1"}, origin.Origin{Service: "s", Software: "v2"}
-	v := origin.NewVersions(clock.now)
+	v := clock.versions()
 	v.Observe(endpoints("v1", "v2"))
 	c.Check(v.Held(v1) || v.Held(v2), qt.IsFalse)
-	c.Assert(v.Merge([]byte(`{"s":{"v1":0}}`)), qt.IsNil)
+	c.Assert(mergeError(v, []byte(`{"s":{"v1":0}}`)), qt.IsNil)
 	c.Check(v.Held(v2), qt.IsTrue)
 	leaving := endpoints("v1", "v2")
 	leaving[0].Leaving = true
@@ -223,3 +241,73 @@
 	clock.advance(3 * time.Second)
 	c.Check(v.Held(v2), qt.IsFalse)
 }
+
+// A version came back while a host was out of step. The record, which the host reads before
+// it goes on with a stream, names it as serving: it must count.
+func TestRecordedVersionThatCameBackCounts(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	v := clock.versions()
+	v.Observe(endpoints("v1", "v2"))
+	v.Observe(endpoints("v1"))
+	clock.advance(origin.Retention(0))
+	c.Assert(mergeError(v, []byte(`{"s":{"v1":0,"v2":0}}`)), qt.IsNil)
+	list, _ := v.Recent("s")
+	c.Check(list, qt.DeepEquals, []identity.Software{"v1", "v2"})
+}
+
+// A version comes back long after it was gone. The record still has it, but as one that is
+// gone, so a host that is out of step knows one version alone when it has read the record.
+// Endpoints of the version must not begin streams before the record says that it serves.
+func TestVersionThatComesBackIsHeldUntilItIsRecorded(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	v2 := origin.Origin{Service: "s", Software: "v2"}
+	inStep := clock.versions()
+	inStep.Observe(endpoints("v1", "v2"))
+	inStep.Observe(endpoints("v1"))
+	record, err := inStep.Document()
+	c.Assert(err, qt.IsNil)
+	c.Assert(mergeError(inStep, record), qt.IsNil)
+	clock.advance(origin.Retention(0) + time.Second)
+	inStep.Observe(endpoints("v1", "v2"))
+
+	outOfStep := clock.versions()
+	outOfStep.Observe(endpoints("v1"))
+	c.Assert(mergeError(outOfStep, record), qt.IsNil)
+	list, complete := outOfStep.Recent("s")
+	c.Assert(complete, qt.IsTrue)
+	c.Check(inStep.Held(v2) || len(list) == 2, qt.IsTrue, qt.Commentf("v2 begins streams, a host that reads the record knows %v", list))
+}
+
+// The same when the leader has since dropped the version from the record, and this host,
+// which is not the leader, has not read the record again.
+func TestVersionThatComesBackAfterTheRecordDroppedItIsHeld(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	v := clock.versions()
+	v.Observe(endpoints("v1", "v2"))
+	c.Assert(mergeError(v, []byte(`{"s":{"v1":0,"v2":0}}`)), qt.IsNil)
+	v.Observe(endpoints("v1"))
+	clock.advance(time.Hour)
+	v.Observe(endpoints("v1"))
+	v.Observe(endpoints("v1", "v2"))
+	c.Check(v.Held(origin.Origin{Service: "s", Software: "v2"}), qt.IsTrue)
+}
+
+// The agreed clock is set when others' clocks are heard. A hold must neither end nor last
+// longer for it.
+func TestHoldDoesNotDependOnTheTimeOfDay(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	v := clock.versions()
+	v.Observe(endpoints("v1"))
+	clock.advance(time.Second)
+	v.Observe(endpoints("v1", "v2"))
+	v2 := origin.Origin{Service: "s", Software: "v2"}
+	clock.set(time.Minute)
+	c.Check(v.Held(v2), qt.IsTrue)
+	clock.set(-70 * time.Second)
+	clock.advance(3 * time.Second)
+	c.Check(v.Held(v2), qt.IsFalse)
+}
--- a/internal/process/origin/versions.go
+++ b/internal/process/origin/versions.go
@@ -18,7 +18,10 @@
 // Versions holds which software versions have served lately, by service. Create one with
 // NewVersions.
 type Versions struct {
-	now func() time.Time
+	// now is a clock on which the hosts agree, which may be set. elapsed is the time since
+	// some moment, which only goes on.
+	now     func() time.Time
+	elapsed func() time.Duration
 
 	mu        sync.Mutex
 	retention time.Duration
@@ -34,17 +37,17 @@
 
 // presence describes a version that has endpoints.
 type presence struct {
-	// since is when the first endpoint was observed.
-	since time.Time
+	// since is when the first endpoint was observed, by elapsed.
+	since time.Duration
 	// ready is set if one of them is not leaving.
 	ready bool
 }
 
 // NewVersions returns Versions without any. The clock should be one on which the hosts
-// agree.
-func NewVersions(now func() time.Time) *Versions {
+// agree; elapsed returns the time since some moment.
+func NewVersions(now func() time.Time, elapsed func() time.Duration) *Versions {
 	return &Versions{
-		now: now, retention: minRetention, gone: make(map[identity.Service]map[identity.Software]time.Time),
+		now: now, elapsed: elapsed, retention: minRetention, gone: make(map[identity.Service]map[identity.Software]time.Time),
 		present: make(map[Origin]presence), recorded: make(map[Origin]bool),
 	}
 }
@@ -67,7 +70,7 @@
 		o := Origin{e.Service, e.Software}
 		p, found := present[o]
 		if !found {
-			p.since = now
+			p.since = v.elapsed()
 			if before, known := v.present[o]; known {
 				p.since = before.since
 			}
@@ -83,6 +86,8 @@
 		for software, gone := range bySoftware {
 			if _, found := present[Origin{service, software}]; gone.IsZero() && !found {
 				bySoftware[software] = now
+				// Once it comes back the record may have dropped it.
+				delete(v.recorded, Origin{service, software})
 			}
 		}
 		maps.DeleteFunc(bySoftware, func(_ identity.Software, gone time.Time) bool { return v.old(now, gone) })
@@ -95,20 +100,20 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	since := v.present[o].since
-	if v.recorded[o] || v.now().Sub(since) >= maxHold {
+	if v.recorded[o] || v.elapsed()-since >= maxHold {
 		return false
 	}
 	for other, p := range v.present {
-		if other.Service == o.Service && other != o && p.ready && (v.recorded[other] || p.since.Before(since)) {
+		if other.Service == o.Service && other != o && p.ready && (v.recorded[other] || p.since < since) {
 			return true
 		}
 	}
 	return false
 }
 
-// Unrecorded returns since when a service has had endpoints of a version that is not
+// Unrecorded returns for how long a service has had endpoints of a version that is not
 // recorded, beside those of another one. It returns false if there is no such service.
-func (v *Versions) Unrecorded() (since time.Time, found bool) {
+func (v *Versions) Unrecorded() (age time.Duration, found bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	count := make(map[identity.Service]int)
@@ -116,11 +121,11 @@
 		count[o.Service]++
 	}
 	for o, p := range v.present {
-		if !v.recorded[o] && count[o.Service] > 1 && (!found || p.since.Before(since)) {
-			since, found = p.since, true
+		if !v.recorded[o] && count[o.Service] > 1 {
+			age, found = max(age, v.elapsed()-p.since), true
 		}
 	}
-	return since, found
+	return age, found
 }
 
 func (v *Versions) old(now, gone time.Time) bool {
@@ -184,31 +189,34 @@
 }
 
 // Merge adds the record that is in the store; data is nil if there is none. A version that
-// was there then and that this process has not seen is taken to be gone only now.
-func (v *Versions) Merge(data []byte) error {
+// was there then and that this process has not seen is taken to be gone only now. It
+// reports whether other versions are recorded than before.
+func (v *Versions) Merge(data []byte) (changed bool, err error) {
 	var d versionsDocument
 	if data != nil {
 		if err := json.Unmarshal(data, &d); err != nil {
-			return err
+			return false, err
 		}
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
+	before := v.recorded
 	v.recorded = make(map[Origin]bool)
 	for service, bySoftware := range d {
 		for software, millis := range bySoftware {
-			v.recorded[Origin{service, software}] = true
-			if _, known := v.gone[service][software]; known {
-				continue
-			}
 			gone := now
-			if millis != 0 && time.UnixMilli(millis).Before(now) {
+			if millis == 0 {
+				v.recorded[Origin{service, software}] = true
+			} else if time.UnixMilli(millis).Before(now) {
 				gone = time.UnixMilli(millis)
 			}
-			v.set(Origin{service, software}, gone)
+			// Others may have seen it serve again, or for longer.
+			if own, known := v.gone[service][software]; !known || !own.IsZero() && own.Before(gone) {
+				v.set(Origin{service, software}, gone)
+			}
 		}
 	}
 	v.complete = true
-	return nil
+	return !maps.Equal(before, v.recorded), nil
 }
