--- a/internal/process/gateway/origins_test.go
+++ b/internal/process/gateway/origins_test.go
@@ -445,7 +445,7 @@
 	waitForOrigin(c, behind, "unknown", "v1")
 	slow.Store(true)
 	var group sync.WaitGroup
-	group.Go(func() { resume(behind, "unknown") })
+	group.Go(func() { _, _ = resume(behind, "unknown") })
 	<-read
 	s.set("endpoints/c", "v2")
 	waitUntil(c, "v2 begins streams", func() bool { return len(first.Endpoints()) == 3 && len(held(first)) == 0 })
