connection/server: report connections that end without an answer

Change: the server follows what was read and written on a connection since its request began. An idle connection is not reported.

--- a/internal/connection/server/server.go
+++ b/internal/connection/server/server.go
@@ -12,9 +12,11 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -36,18 +38,58 @@
 	served   chan struct{}
 	stopping atomic.Bool
 
+	onLost func(Loss)
+
 	mu          sync.Mutex
 	connections map[*connection]struct{}
 }
 
-// New returns a Server that serves with h on listener. It sets h.ConnState.
-func New(h *http.Server, listener *net.TCPListener) *Server {
-	s := &Server{http: h, served: make(chan struct{}), connections: make(map[*connection]struct{})}
+// Option configures a Server.
+type Option func(*Server)
+
+// WithOnLost sets the function that is called for each connection that ends with a
+// request, or a part of one, that got no answer or only a part of it. It must be safe for
+// concurrent use.
+func WithOnLost(onLost func(Loss)) Option {
+	return func(s *Server) { s.onLost = onLost }
+}
+
+// New returns a Server that serves with h on listener. It sets h.ConnState and
+// h.ConnContext and wraps h.Handler.
+func New(h *http.Server, listener *net.TCPListener, options ...Option) *Server {
+	s := &Server{
+		http: h, served: make(chan struct{}), onLost: func(Loss) {}, connections: make(map[*connection]struct{}),
+	}
 	s.listener = trackingListener{listener, s}
 	h.ConnState = s.onState
+	h.ConnContext = func(ctx context.Context, tracked net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, tracked)
+	}
+	h.Handler = followHandler(h.Handler)
+	for _, option := range options {
+		option(s)
+	}
 	return s
 }
 
+// connectionKey is the context key of a request's connection.
+type connectionKey struct{}
+
+// followHandler tells a request's connection when its handler begins and returns.
+func followHandler(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connectionKey{}).(*connection)
+		if !ok {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		c.setProgress(handling)
+		// A handler that panics leaves its request without an answer.
+		handler.ServeHTTP(w, r)
+		c.setProgress(handled)
+	})
+}
+
 // Serve serves until Stop is called.
 func (s *Server) Serve() error {
 	defer close(s.served)
@@ -71,13 +113,25 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			s.http.Close()
+			s.cut()
 			return ctx.Err()
 		}
 	}
 	return err
 }
 
+// cut closes all connections. They are reported here, since the process may end before
+// net/http does so.
+func (s *Server) cut() {
+	s.mu.Lock()
+	left := slices.Collect(maps.Keys(s.connections))
+	s.mu.Unlock()
+	for _, c := range left {
+		c.report(Cut)
+	}
+	s.http.Close()
+}
+
 // wakeUnused wakes the readers of connections from which nothing of a request has been
 // read, so that they close them, and returns the number of open connections.
 func (s *Server) wakeUnused(now time.Time) int {
@@ -106,6 +160,9 @@
 	case http.StateIdle:
 		c.finish()
 	case http.StateClosed, http.StateHijacked:
+		if state == http.StateClosed {
+			c.report("")
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.connections, c)
@@ -148,6 +205,15 @@
 	// mu makes a change of the phase and the deadline that belongs to it one step.
 	mu    sync.Mutex
 	phase phase
+	// began is when the connection became busy; progress, read and written count from
+	// then on.
+	began         time.Time
+	progress      progress
+	read, written int
+	// readError and writeError are the errors that ended reading and writing, or nil.
+	readError, writeError error
+	// reported is set once the loss of the connection was reported.
+	reported bool
 }
 
 // wakeTime is a deadline that has passed.
@@ -179,11 +245,15 @@
 func (c *connection) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != busy && c.server.stopping.Load() {
+	if c.phase == busy {
+		return
+	}
+	if c.server.stopping.Load() {
 		// The reader may have been woken after it had read this request.
 		_ = c.TCPConn.SetReadDeadline(time.Time{})
 	}
-	c.phase = busy
+	c.phase, c.progress = busy, reading
+	c.began, c.read, c.written = time.Now(), 0, 0
 }
 
 // finish makes the connection idle.
@@ -212,6 +282,7 @@
 	if n > 0 {
 		c.begin()
 	}
+	c.countRead(n, err)
 	return n, err
 }
 
--- a/internal/connection/server/server_test.go
+++ b/internal/connection/server/server_test.go
@@ -30,9 +30,13 @@
 }
 
 func start(c *qt.C, handler http.HandlerFunc) *testServer {
+	return startServer(c, &http.Server{Handler: handler})
+}
+
+func startServer(c *qt.C, h *http.Server, options ...server.Option) *testServer {
 	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	c.Assert(err, qt.IsNil)
-	s := &testServer{c: c, server: server.New(&http.Server{Handler: handler}, listener), address: listener.Addr().String()}
+	s := &testServer{c: c, server: server.New(h, listener, options...), address: listener.Addr().String()}
 	s.group.Go(s.server.Serve)
 	return s
 }
