--- a/internal/request/verdict/verdict.go
+++ b/internal/request/verdict/verdict.go
@@ -97,6 +97,7 @@
 	NoConfiguration     Reason = "no_configuration"
 	CallerGone          Reason = "caller_gone"
 	AlreadyRan          Reason = "already_ran"
+	InternalError       Reason = "internal_error"
 )
 
 // Reasons lists every Reason, in the order of the documentation.
@@ -107,6 +108,7 @@
 	DeadlineExceeded, RetryBudget, PromptQuarantined, CallQuarantined,
 	EndpointRefused, EndpointLimit, EndpointQuiet, EndpointUnreachable, EndpointLost, EndpointSilent, EndpointLeaving,
 	StreamOriginUnknown, StreamVersionGone, AnswerGap, AnswerMismatch, HostStopping, HostFull, NoConfiguration, CallerGone, AlreadyRan,
+	InternalError,
 }
 
 // Error is the refusal or failure of a request, with its verdict.
