process/command: entry hosts survive SIGHUP and handle signals as they start

What callers saw: SIGHUP ended an entry host at once, and the calls that it had under way got no answer. So did SIGTERM before the host had logged its start, though it listens before that.

Cause: SIGHUP was not handled, and SIGTERM only after the start.

Change: both are handled from before the start until the stop has ended. SIGHUP is logged (hangup_ignored); settings take effect at the next start. SIGTERM during the start stops the host once it has started.

The start has no test of its own.

--- a/internal/process/command/command.go
+++ b/internal/process/command/command.go
@@ -74,13 +74,17 @@
 		return err
 	}
 	log := newLog(s.LogLevel).With("host", s.Host, "zone", s.Zone)
+	// All signals are handled from before the start until the stop has ended: by default
+	// they end the process at once.
+	firstSignal, restoreFirst := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer restoreFirst()
+	defer ignoreHangups(log)()
 	stopNow := make(chan struct{})
 	app := entry.App(entry.Options{Settings: s, Bootstrap: bootstrap, Log: log, StopNow: stopNow})
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
 	log.Info("started", "listen", s.Listen)
-	firstSignal, restoreFirst := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	<-firstSignal.Done()
 	secondSignal, restoreSecond := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	restoreFirst()
@@ -91,6 +95,25 @@
 	return err
 }
 
+// ignoreHangups logs each SIGHUP until the returned function is called. The settings take
+// effect at the start only.
+func ignoreHangups(log *slog.Logger) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	group := new(errgroup.Group)
+	group.Go(func() error {
+		for range hangups {
+			log.Info("hangup_ignored")
+		}
+		return nil
+	})
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+		_ = group.Wait()
+	}
+}
+
 func standinCommand() *cobra.Command {
 	var path string
 	c := &cobra.Command{
