process/entry: engines and plain services say that they leave or are quiet

Callers of the own interface were sent to an engine that had just refused completions and named a time, or had said that it leaves: nothing read either, and no stand-in could say it.

An engine or plain service says Dandelionlift-Leaving: 1 in all its answers when it leaves, and Retry-After in a refusal with status 503 when it wants no calls from this host. The client reports both for answers that name the request and no other incarnation; the same keeper as on the users' platform holds them, and the choice of an endpoint leaves out what is closed. Leaving is posted to the controller, which moves streams and tells peers. Where all endpoints of a service are quiet, a call that has not begun is refused at once with endpoint_quiet and the time that is left.

A call that waits for a connection is not checked again here.

--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -27,6 +27,9 @@
 	// stream, except the first two, which return the first token; if nil there is
 	// no minimum.
 	MinReadInterval func() time.Duration
+	// OnSaid, if set, is called with what an endpoint says of itself in the answer to a
+	// completion or a call, before the answer is returned.
+	OnSaid func(identity.Incarnation, Said)
 }
 
 // Complete starts a completion. Its error is a *verdict.Error: NotRun if the
@@ -36,10 +39,12 @@
 	if err != nil {
 		return nil, verdict.Wrap(verdict.NotRun, verdict.BadRequest, err)
 	}
+	sent := time.Now()
 	response, err := post(ctx, c.HTTP, address, CompletionsPath, completion.Request, body)
 	if err != nil {
 		return nil, err
 	}
+	c.report(response, completion.Incarnation, completion.Request, sent)
 	if response.StatusCode != http.StatusOK {
 		defer response.Body.Close()
 		return nil, responseError(response, completion.Request)
--- a/internal/connection/engine/message.go
+++ b/internal/connection/engine/message.go
@@ -13,7 +13,12 @@
 //
 // An engine that refuses a request without running it sets RefusedHeader to
 // "not_run" and RequestHeader to the request's ID. Any other failure leaves open
-// whether the request ran.
+// whether the request ran. A refusal with status 503 may name in Retry-After the seconds
+// for which the engine wants no requests from this host.
+//
+// # Leaving
+//
+// An engine that is leaving sets LeavingHeader to "1" in all its answers.
 //
 // # Orders
 //
--- a/internal/connection/engine/plain.go
+++ b/internal/connection/engine/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
@@ -49,10 +50,12 @@
 	if !p.Idempotent {
 		client = c.NoKeepAliveHTTP
 	}
+	sent := time.Now()
 	response, err := sendOnce(client, request)
 	if err != nil {
 		return PlainAnswer{}, err
 	}
+	c.report(response, p.Incarnation, p.Request, sent)
 	defer response.Body.Close()
 	return p.read(response)
 }
--- a/internal/process/advice/advice.go
+++ b/internal/process/advice/advice.go
@@ -216,6 +216,19 @@
 	return s == nil || !s.leaving && !now.Before(s.quiet.until)
 }
 
+// Closed returns the endpoints that may get no call now for what they have said.
+func (k *Keeper) Closed(now time.Time) []identity.Incarnation {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var closed []identity.Incarnation
+	for id, s := range k.endpoints {
+		if s.leaving || s.closedFor(now) > 0 {
+			closed = append(closed, id)
+		}
+	}
+	return closed
+}
+
 // closedFor returns for how long an endpoint that was quiet gets no further call.
 func (s *state) closedFor(now time.Time) time.Duration {
 	since := now.Sub(s.quiet.until)
--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -29,6 +29,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/operator"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/version/configuration"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
 const (
@@ -118,6 +119,7 @@
 	entryServer := New(l.ctx, l.group, s, WithSnapshot(c.Snapshot), WithLog(log), WithMeter(m), WithClaims(ClaimsOf(claims)))
 	entryServer.Engine = e
 	entryServer.Engine.MinReadInterval = entryServer.readInterval
+	entryServer.OnLeaving = func(id identity.Incarnation) { entryServer.postLeaving(c, id) }
 	WithPeers(Peers{Self: s.Host, Zone: s.Zone, Live: members.Live, Client: peer.NewClient(s.Peer.Keys, m.Dial("handover"))})(entryServer)
 	return entryServer
 }
--- a/internal/process/entry/assemble.go
+++ b/internal/process/entry/assemble.go
@@ -76,8 +76,10 @@
 	lostEngines := 0
 	var leavingEndpoint fleet.Endpoint
 	for attemptsSinceProgress < maxAttempts && lostEngines < maxLostEngines {
-		endpoint, ok := s.chooseOrWait(ctx, tracked, &tried, attemptsSinceProgress > 0 || offset > 0)
+		canWait := offset > 0 || attemptsSinceProgress > 0 && s.quietFor(tracked.call.Service) == 0
+		endpoint, ok := s.chooseOrWait(ctx, tracked, &tried, canWait)
 		if !ok {
+			failure = s.withoutEndpoint(tracked.call.Service, failure)
 			break
 		}
 		s.requests.setEndpoint(tracked.call.Request, endpoint.Host)
@@ -147,7 +149,7 @@
 // cancellation, which uses a new one, the call is retried once on a new connection
 // before the endpoint counts as failed.
 func (s *Server) attempt(ctx context.Context, tracked trackedRequest, endpoint fleet.Endpoint) error {
-	err := s.attemptOnce(ctx, tracked, endpoint, s.Engine)
+	err := s.attemptOnce(ctx, tracked, endpoint, s.engineClient(s.Engine))
 	if err == nil {
 		return nil
 	}
@@ -173,7 +175,7 @@
 	}
 	s.Meter.Retried(failure.Reason)
 	fresh := engine.Client{HTTP: s.Engine.NoKeepAliveHTTP, NoKeepAliveHTTP: s.Engine.NoKeepAliveHTTP}
-	return s.attemptOnce(ctx, tracked, endpoint, fresh)
+	return s.attemptOnce(ctx, tracked, endpoint, s.engineClient(fresh))
 }
 
 // cancelAttempt cancels an attempt at the engine over a new connection. It
--- a/internal/process/entry/plain.go
+++ b/internal/process/entry/plain.go
@@ -136,7 +136,7 @@
 	for attempts := range maxAttempts {
 		endpoint, ok := s.choose(c, tried)
 		if !ok {
-			return engine.PlainAnswer{}, failure
+			return engine.PlainAnswer{}, s.withoutEndpoint(c.Service, failure)
 		}
 		tried = append(tried, endpoint.Incarnation)
 		answer, err := s.forward(ctx, c, endpoint)
@@ -165,7 +165,7 @@
 func (s *Server) forward(ctx context.Context, c call.Call, endpoint fleet.Endpoint) (engine.PlainAnswer, error) {
 	plainCall := plainCallOf(c, endpoint.Incarnation)
 	if !c.Idempotent {
-		return s.Engine.Forward(ctx, endpoint.Address, plainCall)
+		return s.engineClient(s.Engine).Forward(ctx, endpoint.Address, plainCall)
 	}
 	answer, err := s.forwardWithTimeout(ctx, endpoint, plainCall)
 	if err == nil || verdict.FromError(err).Verdict == verdict.NotRun || ctx.Err() != nil {
@@ -177,7 +177,7 @@
 	s.Meter.Retried(verdict.FromError(err).Reason)
 	// Forward uses a new connection for a call that is not idempotent.
 	plainCall.Idempotent = false
-	return s.Engine.Forward(ctx, endpoint.Address, plainCall)
+	return s.engineClient(s.Engine).Forward(ctx, endpoint.Address, plainCall)
 }
 
 // answersOnNewConnection reports whether an endpoint answers a load request on a
@@ -194,7 +194,7 @@
 func (s *Server) forwardWithTimeout(ctx context.Context, endpoint fleet.Endpoint, plainCall engine.Plain) (engine.PlainAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.ProgressTimeouts.BetweenTokens)
 	defer cancel()
-	answer, err := s.Engine.Forward(ctx, endpoint.Address, plainCall)
+	answer, err := s.engineClient(s.Engine).Forward(ctx, endpoint.Address, plainCall)
 	if err != nil && ctx.Err() != nil {
 		return answer, verdict.Wrap(verdict.FromError(err).Verdict, verdict.EndpointSilent, err)
 	}
--- a/internal/process/entry/routing.go
+++ b/internal/process/entry/routing.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,8 +156,13 @@
 }
 
 // choose picks the endpoint of a call's next attempt. Those in tried have already
-// failed the call. It reports false if no endpoint can take the call.
+// failed the call, and those that want no calls are left out. It reports false if no endpoint can take the call.
 func (s *Server) choose(c call.Call, tried []identity.Incarnation) (fleet.Endpoint, bool) {
+	now := time.Now()
+	s.retainAdvice(now)
+	if closed := s.advice.Closed(now); len(closed) > 0 {
+		tried = slices.Concat(tried, closed)
+	}
 	routeCall := route.Call{
 		Service: c.Service, Blocks: c.PrefixBlocks, PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens,
 		Batch: isBatch(c), Tried: tried,
@@ -166,7 +172,6 @@
 	random := r.randomPool.Get().(*rand.Rand)
 	defer r.randomPool.Put(random)
 	var d route.Decision
-	now := time.Now()
 	local := r.local
 	local.Hosts = r.hostCount()
 	if !table.Choose(&routeCall, &local, now, random, &d) {
@@ -176,6 +181,7 @@
 	r.decisions.RecordDecision(c.Request, table.Snapshot(), &d, now)
 	e := table.ChosenEndpoint(&d)
 	s.requests.setEndpoint(c.Request, e.Host)
+	s.advice.Take(e.Incarnation)
 	r.dispatches.Begin(c.Request, e.Incarnation, d.Candidates[d.Winner].Score.Uncached, now)
 	return e, true
 }
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -28,11 +28,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/engine"
+	"github.com/dandelionlift/dandelionlift/internal/process/advice"
+	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/request/attempt"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
+	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
 
 // Server serves callers. Create one with New.
@@ -47,6 +50,14 @@
 	// OnResumed, if set, is called for each answer that moved off a leaving
 	// endpoint.
 	OnResumed func(Resumption)
+	// OnLeaving is called with an endpoint that says in an answer that it is leaving, unless
+	// it has said so before. It must be quick and safe for concurrent use.
+	OnLeaving func(identity.Incarnation)
+
+	// advice is what endpoints say of themselves in their answers to this host.
+	advice *advice.Keeper
+	// adviceRetained is when retainAdvice last ran, in Unix nanoseconds.
+	adviceRetained atomic.Int64
 
 	claims       Claims
 	peers        Peers
@@ -70,6 +81,8 @@
 		Meter:            meter.New(),
 		Log:              slog.Default(),
 		ProgressTimeouts: attempt.ProgressTimeouts{FirstToken: firstTokenTimeout, BetweenTokens: betweenTokensTimeout},
+		OnLeaving:        func(identity.Incarnation) {},
+		advice:           advice.New(limit.New()),
 		settings:         s,
 		requests:         newRequestTable(s.Limits.MaxRequests, time.Duration(s.Limits.AnswerRetention)),
 		retryBudgets:     newRetryBudgets(),
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -77,8 +77,10 @@
 	waiting []*queuedRequest
 	cancels map[identity.Request]context.CancelFunc
 	leaving bool
-	order   wire.Order
-	reports []timedReport
+	// quietUntil is until when completions are refused; the refusals name the time left.
+	quietUntil time.Time
+	order      wire.Order
+	reports    []timedReport
 }
 
 // queuedRequest is a waiting request; ready is closed when it may run.
@@ -122,7 +124,14 @@
 	return string(text)
 }
 
-// SetLeaving makes load reports say that the engine is leaving.
+// SetQuiet makes the engine refuse completions for a time, and say so.
+func (e *Engine) SetQuiet(duration time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.quietUntil = time.Now().Add(duration)
+}
+
+// SetLeaving makes load reports and answers say that the engine is leaving.
 func (e *Engine) SetLeaving() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -140,9 +149,23 @@
 	router.HandleFunc(wire.EntriesPath+"/{id}", e.exportEntry).Methods(http.MethodGet)
 	router.HandleFunc(wire.EntriesPath+"/{id}", e.importEntry).Methods(http.MethodPut)
 	router.HandleFunc(wire.OrdersPath, e.applyOrder).Methods(http.MethodPost)
+	router.Use(e.sayLeaving)
 	return router
 }
 
+// sayLeaving makes all answers of a leaving engine say so.
+func (e *Engine) sayLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		leaving := e.leaving
+		e.mu.Unlock()
+		if leaving {
+			w.Header().Set(wire.LeavingHeader, "1")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(wire.RequestHeader, r.Header.Get(wire.RequestHeader))
 	var completion wire.Completion
@@ -155,8 +178,13 @@
 		return
 	}
 	e.mu.Lock()
-	drained := e.order.Drain
+	drained, quiet := e.order.Drain, time.Until(e.quietUntil)
 	e.mu.Unlock()
+	if quiet > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(quiet.Seconds(), 'f', 3, 64))
+		refuse(w, http.StatusServiceUnavailable, "quiet")
+		return
+	}
 	if drained {
 		refuse(w, http.StatusServiceUnavailable, "draining")
 		return
