process/operator: for how long endpoints want no calls

On the own interface operators could not see why a live endpoint gets nothing while it is quiet: show endpoints had the states live and leaving only. That an endpoint leaves by its own answer is already shown there, as it is posted to the controller.

show endpoints and show leaving have a further column, quiet_ms, which can be filtered on; it is zero for endpoints that take calls. A test of the column fails without it, as the last column was the number of waiting calls.

--- a/internal/process/entry/operators.go
+++ b/internal/process/entry/operators.go
@@ -63,6 +63,9 @@
 			}
 			return events
 		},
+		QuietFor: func(id identity.Incarnation) time.Duration {
+			return server.advice.ClosedFor(time.Now(), id)
+		},
 		Explain:   server.Explain,
 		OnOutcome: countLines(server.Meter),
 		Log:       log,
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -74,6 +74,9 @@
 	// HostEvents returns the events that this entry host recorded for a host; it
 	// may be nil.
 	HostEvents func(identity.Host) []HostEvent
+	// QuietFor returns for how long an endpoint wants no calls from this entry host, as it has
+	// said in an answer; it may be nil.
+	QuietFor func(identity.Incarnation) time.Duration
 	// Explain returns the routing decisions of a request.
 	Explain func(context.Context, identity.Request) (Table, error)
 	// CostOfMove estimates the cost of a move. If it is nil, a dry run of a move
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -301,3 +301,27 @@
 	c.Assert(rows[1][1:], quicktest.DeepEquals, []string{"carried", "b-engine-1", "a-engine-1"})
 	c.Assert(host1.execute("", "amal", "show history of move 2").Rows, quicktest.HasLen, 2)
 }
+
+// Operators must see why a live endpoint gets no calls: it wants none for a while.
+func TestShowEndpointsTellsForHowLongTheyAreQuiet(t *testing.T) {
+	c := quicktest.New(t)
+	h := newHost(bootstrapped(t, newMemoryStore()))
+	quiet := func(line string) string {
+		table := h.execute("1", "amal", line)
+		c.Assert(table.Error, quicktest.Equals, "")
+		var values []string
+		for _, row := range table.Rows {
+			values = append(values, row[len(row)-1])
+		}
+		return strings.Join(values, " ")
+	}
+	c.Assert(quiet("show endpoints"), quicktest.Equals, "0 0")
+	h.QuietFor = func(id identity.Incarnation) time.Duration {
+		if id == "i1" {
+			return 1500 * time.Millisecond
+		}
+		return 0
+	}
+	c.Assert(quiet("show endpoints"), quicktest.Equals, "1500 0")
+	c.Assert(quiet("show endpoints where quiet_ms > 0"), quicktest.Equals, "1500")
+}
--- a/internal/process/operator/show.go
+++ b/internal/process/operator/show.go
@@ -31,9 +31,9 @@
 	case "work":
 		return in.work()
 	case "leaving":
-		return endpoints(snapshot, func(e fleet.Endpoint) bool { return e.Leaving })
+		return in.endpoints(snapshot, func(e fleet.Endpoint) bool { return e.Leaving })
 	case "endpoints":
-		return endpoints(snapshot, func(fleet.Endpoint) bool { return true })
+		return in.endpoints(snapshot, func(fleet.Endpoint) bool { return true })
 	case "hosts":
 		return in.hosts(snapshot)
 	case "services":
@@ -47,9 +47,9 @@
 	}
 }
 
-func endpoints(s *fleet.Snapshot, include func(fleet.Endpoint) bool) Table {
+func (in Interpreter) endpoints(s *fleet.Snapshot, include func(fleet.Endpoint) bool) Table {
 	t := Table{Columns: []string{
-		"endpoint", "incarnation", "service", "zone", "class", "reclaimable", "address", "state", "gone_at", "running", "waiting",
+		"endpoint", "incarnation", "service", "zone", "class", "reclaimable", "address", "state", "gone_at", "running", "waiting", "quiet_ms",
 	}}
 	for _, e := range s.Endpoints {
 		if !include(e) {
@@ -59,11 +59,19 @@
 			string(e.Host), string(e.Incarnation), string(e.Service), string(e.Zone), string(e.Class),
 			strconv.FormatBool(e.Reclaimable), e.Address.String(), state(e), formatTime(e.Deadline),
 			strconv.Itoa(e.Load.Running), strconv.Itoa(e.Load.Waiting),
+			strconv.FormatInt(in.quietFor(e.Incarnation).Milliseconds(), 10),
 		})
 	}
 	return t
 }
 
+func (in Interpreter) quietFor(id identity.Incarnation) time.Duration {
+	if in.QuietFor == nil {
+		return 0
+	}
+	return in.QuietFor(id)
+}
+
 func state(e fleet.Endpoint) string {
 	if e.Leaving {
 		return "leaving"
