process/entry: answer calls whose handler panics

What callers would have seen: a panic in a handler of the project's own interface closed the connection without an answer, as on the platform's before. None has been seen.

Change: the public server's handler is a recovery.Handler. It answers with the problem internal_error, status 500, whose verdict is may_have_run.

A panic in the goroutine that assembles an answer still ends the process.

--- a/internal/process/entry/app.go
+++ b/internal/process/entry/app.go
@@ -159,7 +159,7 @@
 				return fmt.Errorf("listen on %s: %w", options.Settings.Listen, err)
 			}
 			losses := loss.New(m, options.Log)
-			public = server.New(&http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}, listener, server.WithOnLost(losses.Record))
+			public = server.New(&http.Server{Handler: s.Handler(router), ReadHeaderTimeout: readHeaderTimeout}, listener, server.WithOnLost(losses.Record))
 			l.group.Go(public.Serve)
 			return nil
 		},
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -31,6 +31,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/meter"
+	"github.com/dandelionlift/dandelionlift/internal/process/recovery"
 	"github.com/dandelionlift/dandelionlift/internal/process/settings"
 	"github.com/dandelionlift/dandelionlift/internal/request/attempt"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
@@ -131,6 +132,15 @@
 	router.PathPrefix("/v1/services/{service}/").HandlerFunc(s.servePlain)
 }
 
+// Handler returns router with an answer to calls whose handler panics.
+func (s *Server) Handler(router http.Handler) http.Handler {
+	return recovery.Handler{
+		Next: router, RequestID: func(r *http.Request) string { return r.Header.Get("Idempotency-Key") },
+		Answer: func(w http.ResponseWriter, _ *http.Request, failure *verdict.Error) { s.writeProblem(w, "", failure) },
+		Meter:  s.Meter, Log: s.Log,
+	}
+}
+
 // Running returns the number of unfinished requests.
 func (s *Server) Running() int { return s.requests.countRunning() }
 
@@ -197,6 +207,8 @@
 		return http.StatusConflict
 	case verdict.DeadlineExceeded:
 		return http.StatusGatewayTimeout
+	case verdict.InternalError:
+		return http.StatusInternalServerError
 	case verdict.EndpointLost, verdict.EndpointSilent, verdict.AnswerGap, verdict.AnswerMismatch:
 		return http.StatusBadGateway
 	default:
