process/origin: a version that replaced all others is recorded as well

Without a leader no other host recorded a new version if the endpoints of the old one were gone by then: a host that is out of step reads a record with the old version alone, and streams that began at the new one may go on at an endpoint of the old one that is leaving (ORDER).

Cause: a version counted as unrecorded only beside another one that has endpoints. It now does as long as streams of another one may still be taken up.

--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -311,3 +311,19 @@
 	clock.advance(3 * time.Second)
 	c.Check(v.Held(v2), qt.IsFalse)
 }
+
+// All endpoints of the old version are gone before the new one is recorded, and there is no
+// leader. A host that is out of step knows the old one alone until another host records it.
+func TestVersionThatReplacedAllOthersIsRecorded(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	v := clock.versions()
+	v.Observe(endpoints("v1"))
+	c.Assert(mergeError(v, []byte(`{"s":{"v1":0}}`)), qt.IsNil)
+	v.Observe(endpoints("v2"))
+	clock.advance(time.Second)
+	age, unrecorded := v.Unrecorded()
+	c.Check(unrecorded, qt.IsTrue)
+	c.Check(age, qt.Equals, time.Second)
+	c.Check(v.Held(origin.Origin{Service: "s", Software: "v2"}), qt.IsFalse)
+}
--- a/internal/process/origin/versions.go
+++ b/internal/process/origin/versions.go
@@ -112,16 +112,13 @@
 }
 
 // Unrecorded returns for how long a service has had endpoints of a version that is not
-// recorded, beside those of another one. It returns false if there is no such service.
+// recorded, after or beside those of another one. It returns false if there is no such
+// service.
 func (v *Versions) Unrecorded() (age time.Duration, found bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	count := make(map[identity.Service]int)
-	for o := range v.present {
-		count[o.Service]++
-	}
 	for o, p := range v.present {
-		if !v.recorded[o] && count[o.Service] > 1 {
+		if !v.recorded[o] && len(v.gone[o.Service]) > 1 {
 			age, found = max(age, v.elapsed()-p.since), true
 		}
 	}
