process/forward: silent calls go on at any endpoint that may serve them

What callers saw, found by review: an idempotent call, or a stream without an event, at a silent endpoint that was the only one of its software version waited until its deadline and failed, though endpoints of other versions would have served it, as where a release begins. And a stream without an event was given up, and refused, if all others may not begin streams yet.

Cause: whether there is another endpoint was asked with the version of the silent one, not with what the balancer asks when it chooses.

Change: both ask whether an endpoint may serve the call: the version counts for a stream that has begun, and holds for one that has not.

TestSilentCallGoesOnAtAnotherVersion and TestSilentStreamIsNotGivenUpForHeldEndpoints failed before: the first was answered by the silent endpoint after 5 s, the second lost its stream.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -272,13 +272,12 @@
 	})
 }
 
-// HasOther reports whether a service has another endpoint than the given one that runs
-// the same software and may get a call now.
-func (b *Balancer) HasOther(now time.Time, e fleet.Endpoint) bool {
+// HasOther reports whether a call may now get another endpoint than the given one.
+func (b *Balancer) HasOther(now time.Time, call Call, e fleet.Endpoint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.ContainsFunc(b.services[e.Service], func(s *endpointState) bool {
-		return s.endpoint.Incarnation != e.Incarnation && s.endpoint.Software == e.Software &&
+	return slices.ContainsFunc(b.services[call.Service.ID], func(s *endpointState) bool {
+		return s.endpoint.Incarnation != e.Incarnation && call.allows(s.endpoint) &&
 			!s.endpoint.Leaving && b.advice.Open(now, s.endpoint.Incarnation)
 	})
 }
--- a/internal/process/forward/silence.go
+++ b/internal/process/forward/silence.go
@@ -122,7 +122,7 @@
 // chargeRetry charges a retry of the current attempt to the budget if the call can be
 // sent to another endpoint now. It reads only what an attempt does not change.
 func (k *forwarding) chargeRetry(now time.Time) bool {
-	return k.Deadline.Sub(now) > minAnswerTimeout && k.f.balancer.HasOther(now, k.endpoint) &&
+	return k.Deadline.Sub(now) > minAnswerTimeout && k.f.balancer.HasOther(now, k.call, k.endpoint) &&
 		k.f.checkQuarantine(k.Service.ID, k.shared, k.fingerprint) == nil && k.f.budget.Take(now, k.Service.ID)
 }
 
--- a/internal/process/forward/silence_test.go
+++ b/internal/process/forward/silence_test.go
@@ -273,3 +273,37 @@
 	c.Check(strings.Contains(log.String(), "endpoint_lost"), qt.IsFalse)
 	c.Check(env.forwarder.Quarantine.Evidence(true).Crashes, qt.HasLen, 0)
 }
+
+// Where a release has begun, a silent endpoint may be the only one of its version. A call
+// without a part of its answer must go on at another version, not wait for its deadline.
+func TestSilentCallGoesOnAtAnotherVersion(t *testing.T) {
+	for _, kind := range []catalogue.Kind{catalogue.Idempotent, catalogue.Stream} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			first, second, want := answer("a"), answer("b"), "b"
+			if kind == catalogue.Stream {
+				first, second, want = sendEvents(0, 5, true), sendEvents(0, 5, true), eventText(0, 5)
+			}
+			env := newTestEnv(c, silentFor(5*time.Second, first), second)
+			env.setSoftware("v2", "v1")
+			got, failure := env.serveLong("1", kind, 2)
+			c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%+v", failure))
+			c.Assert(got.Body.String(), qt.Equals, want)
+			c.Assert(env.receivers(), qt.Equals, "ab")
+		})
+	}
+}
+
+// Where all other endpoints may not begin streams yet, a silent stream without an event
+// must not be given up: no endpoint would take it.
+func TestSilentStreamIsNotGivenUpForHeldEndpoints(t *testing.T) {
+	c := qt.New(t)
+	env := newTestEnv(c, silentFor(longPause, sendEvents(0, 5, true)), sendEvents(0, 5, true))
+	env.endpoints[1].Held = true
+	env.balancer.SetEndpoints(env.endpoints)
+	got, failure := env.serveLong("1", catalogue.Stream, 2)
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%+v", failure))
+	c.Assert(got.Body.String(), qt.Equals, eventText(0, 5))
+	c.Assert(env.receivers(), qt.Equals, "a")
+}
