process/forward: retries that find no endpoint cost no budget

What callers saw, found by review: calls that could have been retried failed for lack of budget after others had found no endpoint for their retries, as where endpoints leave at once.

Cause: a retry is charged before an endpoint is chosen for it. If there was none, the charge was not returned, though nothing reached an endpoint.

Change: it is returned, as that for an endpoint without a connection is.

TestRetryWithoutEndpointCostsNoBudget failed before: the second call was refused with endpoint_refused, though the only retry that the host had was never sent.

--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -225,6 +225,7 @@
 	for {
 		choice, failure := k.choose(ctx)
 		if failure != nil {
+			k.returnPaid()
 			return k.fail(ctx, failure)
 		}
 		sentAt := time.Now()
@@ -375,15 +376,22 @@
 // settleBudget records whether an attempt reached its endpoint. If it did not, its
 // charge to the retry budget is returned.
 func (k *forwarding) settleBudget(result balance.Result) {
-	switch {
-	case result != balance.Unreachable:
-		k.delivered++
-	case k.paid:
-		k.f.budget.Return(time.Now(), k.Service.ID)
+	if result == balance.Unreachable {
+		k.returnPaid()
+		return
 	}
+	k.delivered++
 	k.paid = false
 }
 
+// returnPaid returns the charge for an attempt that has not reached an endpoint.
+func (k *forwarding) returnPaid() {
+	if k.paid {
+		k.f.budget.Return(time.Now(), k.Service.ID)
+		k.paid = false
+	}
+}
+
 // fail ends a call that did not succeed. It passes on an endpoint's error answer
 // if there is one, or returns the failure of the last attempt with the verdict
 // over all attempts.
--- a/internal/process/forward/repeat_test.go
+++ b/internal/process/forward/repeat_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/process/forward"
+	"github.com/dandelionlift/dandelionlift/internal/process/retry"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
 	"github.com/dandelionlift/dandelionlift/internal/version/catalogue"
 	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
@@ -86,3 +88,29 @@
 		})
 	}
 }
+
+// A retry that found no endpoint reached none, but stayed charged to the retry budget, so
+// that calls that could be retried failed.
+func TestRetryWithoutEndpointCostsNoBudget(t *testing.T) {
+	c := qt.New(t)
+	var env *testEnv
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	// The host starts with half of 0.7 x 4 retries, for one call.
+	env = newTestEnvWithBudget(c, retry.Limits{Slack: 4, Window: time.Hour}, refuse, answer("b"))
+	refused := func(w http.ResponseWriter, r *http.Request) {
+		env.balancer.SetEndpoints(nil)
+		refuse(w, r)
+	}
+	leaving := httptest.NewServer(http.HandlerFunc(refused))
+	c.Cleanup(leaving.Close)
+	last := env.endpoints[0]
+	last.Incarnation, last.Address = "last", netip.MustParseAddrPort(leaving.Listener.Addr().String())
+	env.balancer.SetEndpoints([]fleet.Endpoint{last})
+	_, failure := env.serveLong("1", catalogue.Idempotent, 2)
+	c.Assert(failure, qt.IsNotNil)
+	env.balancer.SetEndpoints(env.endpoints)
+	got, failure := env.serveLong("2", catalogue.Idempotent, 2)
+	c.Assert(failure == nil, qt.IsTrue, qt.Commentf("%+v", failure))
+	c.Check(got.Body.String(), qt.Equals, "b")
+	c.Check(env.receivers(), qt.Equals, "ab")
+}
