process/forward: a late expiry ends no later silence

What callers saw, found by review: a stream whose event came just after its limit, on a busy host, could be given up for the silence after that event, with a second run of the rest and a charge to the retry budget.

Cause: an expired timer runs in a goroutine. If that came only after the event had been passed on, the watch had begun anew and took the expiry for its own.

Change: an expiry counts only once the current silence has lasted too long.

--- a/internal/process/forward/silence.go
+++ b/internal/process/forward/silence.go
@@ -56,6 +56,9 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// due is when the current silence has lasted too long. An expiry of an earlier one may
+	// come late on a busy host.
+	due time.Time
 	// charged is set once the attempt is given up and its retry charged to the budget.
 	charged bool
 	// stopped is set while a silence is not watched: the timer may have expired just
@@ -76,7 +79,7 @@
 func (w *silenceWatch) restart(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stopped = false
+	w.stopped, w.due = false, time.Now().Add(limit)
 	if w.timer == nil {
 		w.timer = time.AfterFunc(limit, w.expire)
 		return
@@ -88,10 +91,10 @@
 func (w *silenceWatch) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped || w.charged {
+	now := time.Now()
+	if w.stopped || w.charged || now.Before(w.due) {
 		return
 	}
-	now := time.Now()
 	w.outstanding.RecordSilence(now)
 	if !w.k.chargeRetry(now) {
 		w.timer.Reset(silenceInterval)
