--- a/internal/process/entry/routing.go
+++ b/internal/process/entry/routing.go
@@ -156,7 +156,8 @@
 }
 
 // choose picks the endpoint of a call's next attempt. Those in tried have already
-// failed the call, and those that want no calls are left out. It reports false if no endpoint can take the call.
+// failed the call, and those that want no calls are left out. It reports false if no
+// endpoint can take the call.
 func (s *Server) choose(c call.Call, tried []identity.Incarnation) (fleet.Endpoint, bool) {
 	now := time.Now()
 	s.retainAdvice(now)
