review/config: a late heartbeat of an earlier start ends the use of a runner

Three stand-in runners restart one after the other; the last heartbeat of the earlier start of each gets no answer from the store and takes effect 4 s later. With all listed as ready again, 0 of 60 requests on a route that is added then are served, and 60 of 120 on the first.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(2)
 	}
-	plays := map[string]func(dir, recordPath string, trouble bool) error{"order": playOrder, "lost": playLost, "routes": playRoutes, "stop": playStop}
+	plays := map[string]func(dir, recordPath string, trouble bool) error{"order": playOrder, "lost": playLost, "routes": playRoutes, "stop": playStop, "frozen": playFrozen}
 	play, found := plays[os.Args[1]]
 	if !found {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
--- a/review/rig/routes.go
+++ b/review/rig/routes.go
@@ -70,3 +70,17 @@
 	}
 	return served
 }
+
+// readLoad sends reads on the first route at an interval for the given time.
+func (r *rig) readLoad(interval, duration time.Duration) {
+	end := time.Now().Add(duration)
+	for i := 0; time.Now().Before(end); i++ {
+		r.playing.Add(1)
+		r.run(func() error {
+			defer r.playing.Done()
+			r.client.get("first", fmt.Sprintf("g%d", i))
+			return nil
+		})
+		time.Sleep(interval)
+	}
+}
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -28,15 +28,16 @@
 	record            *record
 	run               func(func() error)
 
-	mu      sync.Mutex
-	version string
-	born    int64
-	seq     int
-	server  *http.Server
-	open    map[net.Conn]bool
-	stopped chan struct{}
-	crashed bool
-	cut     bool
+	mu       sync.Mutex
+	version  string
+	born     int64
+	seq      int
+	server   *http.Server
+	open     map[net.Conn]bool
+	stopped  chan struct{}
+	crashed  bool
+	cut      bool
+	draining bool
 	// ran holds the requests that the runner has run.
 	ran map[string]bool
 }
@@ -68,7 +69,7 @@
 	}
 	r.mu.Lock()
 	r.version, r.born, r.seq = version, time.Now().UnixMilli(), 0
-	r.server, r.open, r.stopped, r.crashed = server, make(map[net.Conn]bool), stopped, false
+	r.server, r.open, r.stopped, r.crashed, r.draining = server, make(map[net.Conn]bool), stopped, false, false
 	r.mu.Unlock()
 	r.record.logf("runner %s starts with software %s", r.id, version)
 	r.run(func() error {
@@ -104,11 +105,32 @@
 	defer r.mu.Unlock()
 	r.seq++
 	return map[string]any{
-		"service": "s", "address": r.address, "zone": r.zone, "version": r.version, "slots": 64, "state": "ready",
+		"service": "s", "address": r.address, "zone": r.zone, "version": r.version, "slots": 64, "state": r.state(),
 		"coldMs": 0, "seq": r.seq, "born": r.born,
 	}, r.born, r.cut
 }
 
+// state returns the state in the runner's entry. The caller holds the lock.
+func (r *runner) state() string {
+	if r.draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+// drain makes the runner say that it leaves, and ends it after a while.
+func (r *runner) drain(serves time.Duration) {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	r.record.logf("runner %s drains", r.id)
+	entry, born, _ := r.entry()
+	r.store.put("servers/"+r.id, entry)
+	r.store.beat("servers/"+r.id, entry, born, silentBeats*heartbeat)
+	time.Sleep(serves)
+	r.crash()
+}
+
 // beatLate makes a heartbeat that gets no answer and takes effect after a delay.
 func (r *runner) beatLate(delay time.Duration) {
 	entry, born, _ := r.entry()
@@ -170,6 +192,11 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		r.mu.Lock()
+		if r.draining {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		r.mu.Unlock()
 		if req.Method == http.MethodGet {
 			r.record.logf("runner %s runs %s", r.id, id)
 			w.Header().Set("X-Dandelionlift-Response-Signature", r.id+"."+version)
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -19,6 +19,8 @@
 	leases    map[uint64]lease
 	lastLease uint64
 	changed   chan struct{}
+	// latency is how long a call takes, with its way there and back.
+	latency time.Duration
 	// down makes all calls get 503. Leases and entries pause meanwhile.
 	down     bool
 	downFrom time.Time
@@ -185,6 +187,7 @@
 
 // ServeHTTP handles the calls of the system.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(s.latency)
 	s.mu.Lock()
 	down := s.down
 	s.mu.Unlock()
