--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -1,13 +1,13 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -146,6 +146,7 @@
 	if err := h.command.Start(); err != nil {
 		return err
 	}
+	started.add(h.command.Process)
 	h.ended = make(chan struct{})
 	command, ended := h.command, h.ended
 	run(func() error {
@@ -183,17 +184,26 @@
 	return fmt.Errorf("%s is not ready after %v", h.name, limit)
 }
 
-// logLines returns the lines of the host's log that hold a text.
-func (h *host) logLines(text string) []string {
-	data, err := os.ReadFile(h.log.Name())
-	if err != nil {
-		return nil
-	}
-	var lines []string
-	for _, line := range bytes.Split(data, []byte("\n")) {
-		if bytes.Contains(line, []byte(text)) {
-			lines = append(lines, string(line))
-		}
+// processes are the processes that were started.
+type processes struct {
+	mu   sync.Mutex
+	list []*os.Process
+}
+
+var started processes
+
+func (p *processes) add(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = append(p.list, process)
+}
+
+// kill ends all processes.
+func (p *processes) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, process := range p.list {
+		// An error means that it has ended.
+		_ = process.Kill()
 	}
-	return lines
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -9,11 +9,34 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
+// maxDuration is how long a case may run.
+const maxDuration = 115 * time.Second
+
+// guard ends the case and what it started after maxDuration or at a signal.
+func guard() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-time.After(maxDuration):
+	}
+	started.kill()
+	fmt.Println("could not run: it took too long or was stopped")
+	os.Exit(2)
+	return nil
+}
+
 var errBroken = errors.New("the rule was broken")
 
 func main() {
@@ -27,6 +50,8 @@
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
 		os.Exit(2)
 	}
+	var guards errgroup.Group
+	guards.Go(guard)
 	dir, err := os.MkdirTemp("", "review")
 	if err == nil {
 		err = play(dir, os.Args[2], os.Getenv("TROUBLE") != "0")
