--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -24,11 +24,17 @@
 	complete bool
 	// fault says what is wrong with the order of events, or is empty.
 	fault string
-	// tries counts the client's attempts. resumes is set once one of them takes the stream
-	// up again, resumed once such a one brings a further event or the stream's end.
-	tries            int
-	resumes, resumed bool
-	started          time.Time
+	// tries counts the client's attempts, takeUps holds those that took the stream up again.
+	tries   int
+	takeUps []takeUp
+	started time.Time
+}
+
+// takeUp is an attempt that takes a stream up again. It went on if it brought a further
+// event or the stream's end.
+type takeUp struct {
+	at     time.Time
+	wentOn bool
 }
 
 const (
@@ -91,7 +97,7 @@
 	request.Header.Set("Authorization", "Token key-1")
 	resumes := len(s.events) > 0
 	if resumes {
-		s.resumes = true
+		s.takeUps = append(s.takeUps, takeUp{at: time.Now()})
 		request.Header.Set("Last-Event-Id", strconv.Itoa(len(s.events)-1))
 		request.Header.Set("Resumes", s.first)
 	}
@@ -114,7 +120,7 @@
 	before := len(s.events)
 	err = s.read(response.Body, id)
 	if resumes && (len(s.events) > before || err == nil) {
-		s.resumed = true
+		s.takeUps[len(s.takeUps)-1].wentOn = true
 	}
 	c.record.logf("client has %d events after %s, complete %v, versions %v, end %v", len(s.events), id, s.complete, s.versions, err)
 	return 0
@@ -159,6 +165,17 @@
 	}
 }
 
+// takenUp reports whether a client has taken the stream up since a time, and whether it
+// went on then.
+func (s *stream) takenUp(since time.Time) (taken, wentOn bool) {
+	for _, t := range s.takeUps {
+		if t.at.After(since) {
+			taken, wentOn = true, wentOn || t.wentOn
+		}
+	}
+	return taken, wentOn
+}
+
 // mixed returns the streams that hold events of two versions.
 func (c *client) mixed() []*stream {
 	c.mu.Lock()
--- a/review/rig/lost.go
+++ b/review/rig/lost.go
@@ -17,7 +17,12 @@
 // playLost cuts the two runners of one software version off from the store until their
 // entries have expired. They serve on and register again. Later a host is killed, and its
 // clients take their streams up at the others.
-func playLost(dir, recordPath string, trouble bool) (err error) {
+func playLost(dir, recordPath string, trouble bool) error {
+	return playTakeUp(dir, recordPath, trouble, 60*time.Millisecond, cutRunners)
+}
+
+// playTakeUp disturbs the two runners of one software version and then kills a host.
+func playTakeUp(dir, recordPath string, trouble bool, interval time.Duration, disturb func(*rig, ...string) error) (err error) {
 	streamEvents = 200
 	r, err := newRig(dir, recordPath, 3, map[string]string{"i-a": "v1", "i-b": "v1", "i-c": "v2"})
 	if r != nil {
@@ -28,18 +33,23 @@
 	}
 	time.Sleep(5 * time.Second)
 	r.run(func() error {
-		r.load("s", 60*time.Millisecond, 22*time.Second)
+		r.load("s", interval, 22*time.Second)
 		return nil
 	})
 	time.Sleep(8 * time.Second)
 	if trouble {
-		if err := cutRunners(r, "i-a", "i-b"); err != nil {
+		if err := disturb(r, "i-a", "i-b"); err != nil {
 			return err
 		}
 	}
 	time.Sleep(2 * time.Second)
 	for _, id := range []string{"i-a", "i-b"} {
-		r.record.logf("the store lists %s: %v", id, r.store.lists("servers/"+id))
+		_, born, _ := r.runners[id].entry()
+		listed := r.store.incarnation("servers/" + id)
+		r.record.logf("the store lists %s: %v, born %d", id, r.store.lists("servers/"+id), listed)
+		if listed != born {
+			return fmt.Errorf("the entry of runner %s is not that of its latest start", id)
+		}
 	}
 	r.record.logf("host %s killed", r.hosts[0].name)
 	r.setHosts(r.hosts[1:]...)
@@ -74,7 +84,7 @@
 }
 
 // judgeLost compares the streams of software v1, of which two runners serve, that were
-// taken up with the streams that began since then.
+// taken up since a time with the streams that began since then.
 func judgeLost(r *rig, since time.Time) error {
 	takenUp, wentOn, started, begun := 0, 0, 0, 0
 	for _, s := range r.client.streams {
@@ -84,9 +94,10 @@
 				begun++
 			}
 		}
-		if s.resumes && s.versions["v1"] {
+		taken, went := s.takenUp(since)
+		if taken && s.versions["v1"] {
 			takenUp++
-			if s.resumed {
+			if went {
 				wentOn++
 			}
 		}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -44,7 +44,9 @@
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(2)
 	}
-	plays := map[string]func(dir, recordPath string, trouble bool) error{"order": playOrder, "lost": playLost, "routes": playRoutes, "stop": playStop, "frozen": playFrozen}
+	plays := map[string]func(dir, recordPath string, trouble bool) error{
+		"frozen": playFrozen, "late": playLate, "lost": playLost, "order": playOrder, "routes": playRoutes, "stop": playStop,
+	}
 	play, found := plays[os.Args[1]]
 	if !found {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
--- a/review/rig/routes.go
+++ b/review/rig/routes.go
@@ -30,11 +30,7 @@
 	first := r.reads("first")
 	if trouble {
 		for _, id := range ids {
-			r.runners[id].beatLate(lateBeat)
-			time.Sleep(100 * time.Millisecond)
-			r.runners[id].crash()
-			time.Sleep(crashTime)
-			if err := r.runners[id].restart("v1"); err != nil {
+			if err := restartWithLateBeat(r.runners[id]); err != nil {
 				return err
 			}
 		}
