process/departure: endpoints that register again are used again

Cause: a lapsed entry marked its endpoint as leaving, and nothing ended the mark: neither the host nor its reports to others held what the mark was drawn from. Hosts that heard of it kept it alike, so that restarts of single hosts did not help.

Change: package departure keeps the evidence of a departure: the revision of the store, the sequence of the endpoint's latest report by then, and whether the endpoint has announced it. A later report of the same start ends it. An entry that comes back as it was may be a late write and counts once it must have been renewed, after four heartbeat intervals of the settings. An announced departure ends by a later sequence only. Hosts tell each other the evidence, which a host compares with its own copy. Relays don't repeat departures in the aggregates that they pass on within their zone, since they are in their own reports; the test of the bytes follows that, its bound is as it was.

--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/process/departure"
 	"github.com/dandelionlift/dandelionlift/internal/process/mirror"
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
 	"github.com/dandelionlift/dandelionlift/internal/process/quota"
@@ -40,10 +41,10 @@
 	// retained holds endpoints whose entries were removed around a store outage, by
 	// key.
 	retained map[string]retainedEndpoint
-	// leaving holds when each endpoint became known to be leaving, from any source,
-	// or, if that was later, when the endpoint was removed. It holds an endpoint at
-	// least while the store lists it.
-	leaving map[identity.Incarnation]time.Time
+	// leaving holds the endpoints known to be leaving, from any source but their answers.
+	leaving *departure.Set
+	// asOf is the revision of the endpoints' latest copy.
+	asOf keyvalue.Revision
 	// misdirected holds until when endpoints are not used because another one
 	// answered at their address.
 	misdirected map[identity.Incarnation]time.Time
@@ -51,9 +52,7 @@
 	dialled map[identity.Incarnation]time.Time
 	// unreadable holds the revisions of values that could not be decoded, by key,
 	// so that each is logged once.
-	unreadable map[string]keyvalue.Revision
-	// era is that of the endpoints' latest copy.
-	era         keyvalue.Era
+	unreadable  map[string]keyvalue.Revision
 	lastFailure time.Time
 	// held is how many of the published endpoints are held, which ends by itself.
 	held int
@@ -65,6 +64,9 @@
 type entry struct {
 	endpoint fleet.Endpoint
 	revision keyvalue.Revision
+	// since is when this host first read an entry of the endpoint that has not been
+	// removed since.
+	since time.Time
 }
 
 type retainedEndpoint struct {
@@ -72,10 +74,14 @@
 	until    time.Time
 }
 
-func newControl() controlState {
+// lapsedHeartbeats is after how many heartbeat intervals of silence the store has removed
+// an entry, and this host has learned of it.
+const lapsedHeartbeats = 4
+
+func newControl(bounds Bounds) controlState {
 	return controlState{
 		entries: make(map[string]entry), retained: make(map[string]retainedEndpoint),
-		leaving:     make(map[identity.Incarnation]time.Time),
+		leaving:     departure.New(lapsedHeartbeats * bounds.HeartbeatInterval),
 		misdirected: make(map[identity.Incarnation]time.Time),
 		dialled:     make(map[identity.Incarnation]time.Time),
 		unreadable:  make(map[string]keyvalue.Revision),
@@ -96,7 +102,7 @@
 		case id := <-g.misdirections:
 			g.control.misdirected[id] = time.Now().Add(misdirectedTimeout)
 			g.publish(time.Now())
-		case id := <-g.departures:
+		case id := <-g.announcements:
 			g.log.Info("endpoint_leaving", "endpoint", id, "source", "answer")
 			g.publish(time.Now())
 		case now := <-ticker.C:
@@ -145,16 +151,18 @@
 	if !ok {
 		return
 	}
-	if era := copied.AsOf.Era(); era != g.control.era {
+	if copied.AsOf.Era() != g.control.asOf.Era() {
 		// Entries that a restored store lacks are about to be written again.
-		g.control.era, g.control.lastFailure = era, now
+		g.control.lastFailure = now
 	}
+	g.control.asOf = copied.AsOf
 	previous := g.control.entries
 	g.control.entries = make(map[string]entry, len(copied.Items))
 	for _, item := range copied.Items {
 		g.readEntry(now, item, previous[item.Key])
 	}
 	g.handleRemovals(now, previous)
+	g.settleDepartures(now)
 	g.publish(now)
 }
 
@@ -185,16 +193,20 @@
 		g.log.Info("endpoint_found", "endpoint", e.Host, "service", e.Service, "zone", e.Zone, "address", e.Address, "software", e.Software, "reclaimable", e.Reclaimable)
 	}
 	if e.Leaving {
-		g.markLeaving(now, e.Incarnation, "store", item.Revision)
+		g.markLeaving(now, e.Incarnation, "store", departure.Evidence{Revision: item.Revision, Sequence: e.Sequence, Announced: true})
+	}
+	since := previous.since
+	if since.IsZero() || previous.endpoint.Incarnation != e.Incarnation {
+		since = now
 	}
-	if ended := previous.endpoint.Incarnation; ended != "" && ended != e.Incarnation {
-		g.markLeaving(now, ended, "later start", item.Revision)
-		g.recordStart(now, previous.endpoint, e)
+	if ended := previous.endpoint; ended.Incarnation != "" && ended.Incarnation != e.Incarnation {
+		g.markLeaving(now, ended.Incarnation, "later start", departure.Evidence{Revision: item.Revision, Sequence: ended.Sequence})
+		g.recordStart(now, ended, e)
 	}
 	if previous.endpoint.Incarnation == e.Incarnation && e.Sequence > previous.endpoint.Sequence {
 		g.recordStay(now, e)
 	}
-	g.control.entries[item.Key] = entry{endpoint: e, revision: item.Revision}
+	g.control.entries[item.Key] = entry{endpoint: e, revision: item.Revision, since: since}
 	delete(g.control.retained, item.Key)
 }
 
@@ -233,45 +245,73 @@
 	outage := now.Sub(g.control.lastFailure) < outageGrace || len(removed) >= massRemovalSize
 	for _, key := range removed {
 		e := previous[key].endpoint
-		_, leaving := g.control.leaving[e.Incarnation]
+		leaving := g.control.leaving.Contains(e.Incarnation)
 		g.log.Info("endpoint_removed", "endpoint", e.Host, "service", e.Service, "leaving", leaving, "store_trouble", outage)
 		if outage && !leaving && !e.Leaving {
 			g.control.retained[key] = retainedEndpoint{endpoint: e, until: now.Add(g.bounds.ReappearTimeout)}
 			continue
 		}
-		g.control.leaving[e.Incarnation] = now
+		g.control.leaving.Add(now, e.Incarnation, departure.Evidence{Revision: g.control.asOf, Sequence: e.Sequence})
 	}
 }
 
-// markLeaving marks an endpoint as leaving. This is never undone, even if the store
-// later lists the endpoint as ready.
-func (g *Gateway) markLeaving(now time.Time, id identity.Incarnation, source string, version any) {
-	if _, known := g.control.leaving[id]; known {
-		return
+// markLeaving marks an endpoint as leaving.
+func (g *Gateway) markLeaving(now time.Time, id identity.Incarnation, source string, evidence departure.Evidence) {
+	if g.control.leaving.Add(now, id, evidence) {
+		g.log.Info("endpoint_leaving", "endpoint", id, "source", source, "revision", evidence.Revision, "sequence", evidence.Sequence)
 	}
-	g.control.leaving[id] = now
-	g.log.Info("endpoint_leaving", "endpoint", id, "source", source, "version", version)
 }
 
-// mergeLeaving marks the endpoints that a neighbour knows to be leaving. Endpoints
-// not listed in the store are ignored: nothing needs to be done about them, and hosts
-// would keep reporting them to each other.
+// mergeLeaving marks the endpoints that a neighbour knows to be leaving, unless this host's
+// copy of the store refutes its evidence. Endpoints not listed in the store are ignored:
+// nothing needs to be done about them, and hosts would keep reporting them to each other.
 func (g *Gateway) mergeLeaving(r neighbour.Report) {
+	now := time.Now()
 	changed := false
-	for _, id := range r.Leaving {
-		if _, known := g.control.leaving[id]; !known && g.inStore(id) {
-			g.markLeaving(time.Now(), id, string(r.Host), r.Sequence)
-			changed = true
+	for id, evidence := range r.Departures {
+		if !g.inStore(id) || !g.control.leaving.Learn(now, id, evidence, g.listing(id)) {
+			continue
 		}
+		g.log.Info("endpoint_leaving", "endpoint", id, "source", r.Host, "report", r.Sequence, "revision", evidence.Revision, "sequence", evidence.Sequence)
+		changed = true
 	}
 	if changed {
-		g.publish(time.Now())
+		g.publish(now)
+	}
+}
+
+// listing returns an endpoint's entry in the copy of the store, or the zero Listing.
+func (g *Gateway) listing(id identity.Incarnation) departure.Listing {
+	for _, e := range g.control.entries {
+		if e.endpoint.Incarnation == id {
+			return g.listed(e)
+		}
+	}
+	return departure.Listing{}
+}
+
+func (g *Gateway) listed(e entry) departure.Listing {
+	since := e.since
+	if since.Before(g.control.lastFailure) {
+		since = g.control.lastFailure
+	}
+	return departure.Listing{
+		Revision: e.revision, AsOf: g.control.asOf, Sequence: e.endpoint.Sequence, Leaving: e.endpoint.Leaving, Since: since,
 	}
 }
 
-// leavingRetention is the least time for which a leaving endpoint is reported to
-// neighbours. It is reported for longer if the store still lists it.
-const leavingRetention = 30 * time.Second
+// settleDepartures ends the departures that the endpoints' entries refute, and reports
+// whether there were any.
+func (g *Gateway) settleDepartures(now time.Time) bool {
+	ended := false
+	for _, e := range g.control.entries {
+		if id := e.endpoint.Incarnation; g.control.leaving.Settle(now, id, g.listed(e)) {
+			g.log.Info("endpoint_returned", "endpoint", id, "revision", e.revision, "sequence", e.endpoint.Sequence, "listed", now.Sub(e.since))
+			ended = true
+		}
+	}
+	return ended
+}
 
 // publish updates the endpoints that the request path uses, and those that reports
 // list as leaving.
@@ -289,13 +329,10 @@
 		g.log.Info("endpoints_held", "count", held)
 	}
 	slices.SortFunc(published, func(a, b fleet.Endpoint) int { return strings.Compare(string(a.Host), string(b.Host)) })
-	leaving := make([]identity.Incarnation, 0, len(g.control.leaving))
-	for id := range g.control.leaving {
-		leaving = append(leaving, id)
-	}
+	departures := g.control.leaving.Departures()
 	g.balancer.SetEndpoints(published)
 	g.endpoints.Store(&published)
-	g.leaving.Store(&leaving)
+	g.departures.Store(&departures)
 	g.updateIdleLimits()
 }
 
@@ -303,7 +340,7 @@
 // misdirected. That an endpoint has said so itself is not told to other hosts: a call
 // that it gets from them meanwhile is served, and tells them.
 func (g *Gateway) withLocalState(now time.Time, e fleet.Endpoint) fleet.Endpoint {
-	if _, leaving := g.control.leaving[e.Incarnation]; leaving || g.advice.Leaving(e.Incarnation) {
+	if g.control.leaving.Contains(e.Incarnation) || g.advice.Leaving(e.Incarnation) {
 		e.Leaving = true
 	}
 	if until, ok := g.control.misdirected[e.Incarnation]; ok && now.Before(until) {
@@ -337,7 +374,7 @@
 	for key, kept := range g.control.retained {
 		if now.After(kept.until) && now.Sub(g.control.lastFailure) > g.bounds.ReappearTimeout {
 			delete(g.control.retained, key)
-			g.control.leaving[kept.endpoint.Incarnation] = now
+			g.control.leaving.Add(now, kept.endpoint.Incarnation, departure.Evidence{Revision: g.control.asOf, Sequence: kept.endpoint.Sequence})
 			g.log.Info("endpoint_gone", "endpoint", kept.endpoint.Host, "waited", g.bounds.ReappearTimeout)
 			gone = true
 		}
@@ -390,14 +427,10 @@
 	}
 	g.advice.Retain(now, incarnations)
 	leaving, _ := g.advice.Counts(now)
-	changed := leaving != g.control.saidLeaving
+	changed := g.settleDepartures(now) || leaving != g.control.saidLeaving
 	g.control.saidLeaving = leaving
 	g.pool.CloseIdle(now, func(a netip.AddrPort) bool { return current[a] })
-	for id, since := range g.control.leaving {
-		if now.Sub(since) > leavingRetention && !g.inStore(id) {
-			delete(g.control.leaving, id)
-		}
-	}
+	g.control.leaving.Evict(now, g.inStore)
 	maps.DeleteFunc(g.control.dialled, func(id identity.Incarnation, _ time.Time) bool { return !incarnations[id] })
 	for id, until := range g.control.misdirected {
 		if now.After(until) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/advice"
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/process/clock"
+	"github.com/dandelionlift/dandelionlift/internal/process/departure"
 	"github.com/dandelionlift/dandelionlift/internal/process/duty"
 	"github.com/dandelionlift/dandelionlift/internal/process/forward"
 	"github.com/dandelionlift/dandelionlift/internal/process/limit"
@@ -76,6 +77,9 @@
 	// ReappearTimeout is how long endpoints whose entries expired during a store outage
 	// may take to register again once the store is back.
 	ReappearTimeout time.Duration
+	// HeartbeatInterval is how often endpoints renew their entries. The store removes an
+	// entry after three intervals of silence.
+	HeartbeatInterval time.Duration
 }
 
 // Platform gives access to the platform: its services, the formats of its data and its
@@ -120,19 +124,20 @@
 	group         *errgroup.Group
 	serviceDemand demandMeter
 
-	// mirrorChanged, reports, misdirections and departures are the events that the
+	// mirrorChanged, reports, misdirections and announcements are the events that the
 	// control goroutine handles.
 	mirrorChanged chan struct{}
 	// restored makes the registration start again.
 	restored      chan struct{}
 	reports       chan neighbour.Report
 	misdirections chan identity.Incarnation
-	departures    chan identity.Incarnation
+	announcements chan identity.Incarnation
 	control       controlState
 
 	catalogue atomic.Pointer[catalogue.Catalogue]
 	endpoints atomic.Pointer[[]fleet.Endpoint]
-	leaving   atomic.Pointer[[]identity.Incarnation]
+	// departures holds what is reported of the endpoints that are leaving.
+	departures atomic.Pointer[departure.Departures]
 	// liveReports covers each other host once, heardReports holds those that this host
 	// hears itself.
 	liveReports  atomic.Pointer[[]neighbour.ReceivedReport]
@@ -159,9 +164,9 @@
 		incarnation: identity.NewIncarnation(), started: time.Now(),
 		clock: clock.New(), quota: quota.New(time.Now(), quota.WithSlack(bounds.QuotaSlack)), group: new(errgroup.Group),
 		mirrorChanged: make(chan struct{}, 1), restored: make(chan struct{}, 1), reports: make(chan neighbour.Report, eventQueueSize),
-		misdirections: make(chan identity.Incarnation, eventQueueSize), departures: make(chan identity.Incarnation, eventQueueSize),
+		misdirections: make(chan identity.Incarnation, eventQueueSize), announcements: make(chan identity.Incarnation, eventQueueSize),
 	}
-	g.control = newControl()
+	g.control = newControl(bounds)
 	g.quarantine = quarantine.New(quarantine.WithClock(g.clock.Now))
 	m.Gauge("prompt_quarantines", func() float64 {
 		parts, _ := g.quarantine.Counts()
@@ -220,7 +225,7 @@
 	g.liveReports.Store(new([]neighbour.ReceivedReport))
 	g.heardReports.Store(new([]neighbour.ReceivedReport))
 	g.endpoints.Store(new([]fleet.Endpoint))
-	g.leaving.Store(new([]identity.Incarnation))
+	g.departures.Store(new(departure.Departures))
 	g.tokenDemand.Store(new(tokenDemand))
 	return g
 }
@@ -352,7 +357,7 @@
 // onLeaving queues an endpoint that has said in an answer that it is leaving.
 func (g *Gateway) onLeaving(id identity.Incarnation) {
 	select {
-	case g.departures <- id:
+	case g.announcements <- id:
 	default:
 		// The balancer knows, and the next change publishes it.
 	}
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -207,6 +207,8 @@
 
 const (
 	reappear = 400 * time.Millisecond
+	// heartbeat is how often the store expects endpoints to renew their entries.
+	heartbeat = time.Second
 	// leaseDuration is short, so that a host acts as the leader soon after its start.
 	leaseDuration = 1500 * time.Millisecond
 )
@@ -215,15 +217,22 @@
 // endpoints. An endpoint's entry consists of its state and, after an @, of when it started
 // and, after a #, of its sequence.
 func startWithEndpoints(t *testing.T) (*qt.C, *fakeStore, *gateway.Gateway) {
+	c, s, g, _ := startWithNeighbourAddress(t)
+	return c, s, g
+}
+
+// startWithNeighbourAddress is startWithEndpoints, and returns the gateway's address for
+// neighbours, too.
+func startWithNeighbourAddress(t *testing.T) (*qt.C, *fakeStore, *gateway.Gateway, netip.AddrPort) {
 	c := qt.New(t)
 	s := newStore()
 	s.set("configuration", "3")
 	for i := range 3 {
 		s.set(fmt.Sprint("endpoints/", i), "ready")
 	}
-	g, _ := startGateway(c, s.client())
+	g, address := startGateway(c, s.client())
 	waitForStates(c, g, "ready ready ready")
-	return c, s, g
+	return c, s, g, address
 }
 
 // startGateway runs a gateway over a store, with the given neighbours as seeds, and
@@ -260,7 +269,7 @@
 		Address: netip.MustParseAddrPort(conn.LocalAddr().String()), Seeds: neighbours,
 	}
 	bounds := gateway.Bounds{
-		LeaseDuration: leaseDuration, UsageWindow: time.Second, UsageReportDue: time.Second, ReappearTimeout: reappear,
+		LeaseDuration: leaseDuration, UsageWindow: time.Second, UsageReportDue: time.Second, ReappearTimeout: reappear, HeartbeatInterval: heartbeat,
 		Retries: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 	}
 	g := gateway.New(self, bounds, platform, conn, meter.New(), slog.New(slog.DiscardHandler))
--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -36,7 +36,7 @@
 		Usage:        g.usage.LocalCounts(g.clock.Now()),
 		UsageBegun:   g.recorder.Begun(),
 		Loads:        g.balancer.LocalLoads(now),
-		Leaving:      *g.leaving.Load(),
+		Departures:   *g.departures.Load(),
 		Limits:       g.advice.Limits.Reported(g.neighbours.IsRelay()),
 		Quarantine:   g.quarantine.Evidence(g.neighbours.Relayed() && g.neighbours.IsRelay()),
 		WatchesStore: g.neighbours.IsRelay() && !g.storeFailing(),
--- a/internal/process/neighbour/cost_test.go
+++ b/internal/process/neighbour/cost_test.go
@@ -9,6 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/process/departure"
 	"github.com/dandelionlift/dandelionlift/internal/process/neighbour"
 	"github.com/dandelionlift/dandelionlift/internal/version/identity"
 )
@@ -29,8 +31,11 @@
 	for i := range loads {
 		r.Loads[costEndpoint(i)] = neighbour.Load{Running: 1 + i%3, PendingPrefill: 700, ReservedCache: 3000}
 	}
+	if leaving > 0 {
+		r.Departures = make(departure.Departures)
+	}
 	for i := range leaving {
-		r.Leaving = append(r.Leaving, costEndpoint(1000+i))
+		r.Departures[costEndpoint(1000+i)] = departure.Evidence{Revision: keyvalue.NewRevision(1, 90210+7919*uint64(i)), Sequence: 40 + uint64(i), Announced: true}
 	}
 	return r
 }
@@ -53,18 +58,19 @@
 // the other zones' aggregates in each third and the own one in each second; and aggregates
 // to two relays of each other zone with each third.
 func (f costFleet) bytesPerSecond(c *qt.C, leaving int) float64 {
-	aggregate := costReport(4*f.loads, leaving)
+	// A relay passes on what other zones know to be leaving in its own report.
+	aggregate, passedOn := costReport(4*f.loads, leaving), costReport(4*f.loads, 0)
 	const rounds = 6
 	relay := 0.0
 	for round := range rounds {
 		r := costReport(f.loads, leaving)
 		if round%3 == 0 {
 			for range f.zones - 1 {
-				r.ZoneAggregates = append(r.ZoneAggregates, aggregate)
+				r.ZoneAggregates = append(r.ZoneAggregates, passedOn)
 			}
 		}
 		if round%2 == 0 {
-			r.ZoneAggregates = append(r.ZoneAggregates, aggregate)
+			r.ZoneAggregates = append(r.ZoneAggregates, passedOn)
 		}
 		relay += encodedBytes(c, r) / rounds
 	}
--- a/internal/process/neighbour/neighbour.go
+++ b/internal/process/neighbour/neighbour.go
@@ -173,7 +173,7 @@
 	if report.Relay && n.sequence%reportsPerOwnAggregate == 0 {
 		own := aggregate(report, zoneReports)
 		own.Usage, own.TokensAdmitted = n.ZoneUsage(), n.ZoneAdmitted()
-		own.Quarantine, own.Limits = quarantine.Evidence{}, nil
+		own.Quarantine, own.Limits, own.Departures = quarantine.Evidence{}, nil, nil
 		report.ZoneAggregates = append(report.ZoneAggregates, own)
 	}
 	if sendAggregate {
--- a/internal/process/neighbour/report.go
+++ b/internal/process/neighbour/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dandelionlift/dandelionlift/internal/connection/keyvalue"
+	"github.com/dandelionlift/dandelionlift/internal/process/departure"
 	"github.com/dandelionlift/dandelionlift/internal/process/limit"
 	"github.com/dandelionlift/dandelionlift/internal/process/quarantine"
 	"github.com/dandelionlift/dandelionlift/internal/process/speed"
@@ -68,8 +69,8 @@
 	UsageBegun map[usage.Window]keyvalue.Era `json:"useb,omitempty"`
 	// Loads is the sender's outstanding work by endpoint.
 	Loads map[identity.Incarnation]Load `json:"load,omitempty"`
-	// Leaving lists the endpoints that the sender knows to be leaving.
-	Leaving []identity.Incarnation `json:"leave,omitempty"`
+	// Departures holds the endpoints that the sender knows to be leaving.
+	Departures departure.Departures `json:"dep,omitempty"`
 	// Limits holds the limits that endpoints have named, those that have ended included.
 	Limits map[identity.Incarnation]limit.Named `json:"lim,omitempty"`
 	// ZoneHosts lists the live hosts of a relay's zone in the order of addresses, while
@@ -122,7 +123,7 @@
 func aggregate(own Report, others []ReceivedReport) Report {
 	total := Report{
 		Host: own.Host, Incarnation: own.Incarnation, Address: own.Address, Zone: own.Zone, Sequence: own.Sequence,
-		Hosts: 1, Revisions: own.Revisions, StoreFailing: own.StoreFailing, UsageBegun: own.UsageBegun, Leader: own.Leader, Leaving: own.Leaving, Quarantine: own.Quarantine, Limits: own.Limits,
+		Hosts: 1, Revisions: own.Revisions, StoreFailing: own.StoreFailing, UsageBegun: own.UsageBegun, Leader: own.Leader, Departures: own.Departures, Quarantine: own.Quarantine, Limits: own.Limits,
 		TokenDemand: cloneMap(own.TokenDemand), ServiceDemand: cloneMap(own.ServiceDemand), Loads: cloneMap(own.Loads), Usage: cloneUsage(own.Usage),
 		ServiceDemandSquares: cloneMap(own.ServiceDemandSquares), Speeds: cloneMap(own.Speeds),
 	}
--- a/internal/process/neighbour/zone.go
+++ b/internal/process/neighbour/zone.go
@@ -118,7 +118,7 @@
 		}
 		aggregated.ZoneAggregates = nil
 		// A relay passes these on in its own report.
-		aggregated.Quarantine, aggregated.Limits = quarantine.Evidence{}, nil
+		aggregated.Quarantine, aggregated.Limits, aggregated.Departures = quarantine.Evidence{}, nil, nil
 		n.aggregates[aggregated.Zone] = ReceivedReport{Report: aggregated, ReceivedAt: time.Now()}
 		if report.Hosts == 0 {
 			added = append(added, aggregated)
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -7,8 +7,9 @@
 //
 // # Leaving
 //
-// An incarnation that is leaving stays so: the flag is never reset. A host that
-// returns on the same address does so under a new incarnation.
+// An incarnation that is leaving stays so, unless the endpoint itself shows later that it
+// serves: see package departure. A host that returns on the same address does so under a
+// new incarnation.
 package fleet
 
 import (
@@ -32,8 +33,8 @@
 	Class       identity.Class
 	// Reclaimable is false for an on-demand host.
 	Reclaimable bool
-	// Leaving never returns to false for one incarnation, unless only the endpoint itself
-	// has said so in an answer, and reports later that it stays.
+	// Leaving returns to false for one incarnation only on a later report of the endpoint,
+	// or once its entry must have been renewed since.
 	Leaving bool
 	// Held is set while calls should not begin at the endpoint, since not all hosts can
 	// know its software version yet.
