process/gateway: starts of an endpoint are ordered by what they report

Cause: an entry with another start was taken for a later start, in the order of reading; only entries of a restored store were compared by what they say. The start that serves was given up.

Change: a key's starts are ordered by the start that they report, the reports of one start by their sequence, also after an entry has lapsed. An entry of an earlier start is doubted until it has been listed for longer than the store lists one that nobody renews, so that an endpoint whose clock was set back is used in the end. endpoint_doubted and endpoint_believed tell of it.

--- a/internal/process/departure/departure.go
+++ b/internal/process/departure/departure.go
@@ -115,7 +115,7 @@
 	switch {
 	case l.Leaving || l.Revision == 0:
 		return false
-	case l.Revision <= e.Revision:
+	case l.Revision < e.Revision:
 		// A copy as new as the evidence still has the entry from before.
 		return l.AsOf >= e.Revision
 	case e.Sequence > 0 && l.Sequence > e.Sequence:
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -41,6 +41,11 @@
 	// retained holds endpoints whose entries were removed around a store outage, by
 	// key.
 	retained map[string]retainedEndpoint
+	// starts holds the latest start of the endpoint of each key. It holds one at least
+	// while the store lists it or the endpoint is retained.
+	starts map[string]start
+	// doubted holds the entries that may be of an earlier start than the latest one, by key.
+	doubted map[string]doubtedEntry
 	// leaving holds the endpoints known to be leaving, from any source but their answers.
 	leaving *departure.Set
 	// asOf is the revision of the endpoints' latest copy.
@@ -74,6 +79,19 @@
 	until    time.Time
 }
 
+// start is what a start of an endpoint has reported last.
+type start struct {
+	endpoint fleet.Endpoint
+	// listed is when the store last listed it.
+	listed time.Time
+}
+
+// doubtedEntry is an entry that the store lists since some time.
+type doubtedEntry struct {
+	incarnation identity.Incarnation
+	since       time.Time
+}
+
 // lapsedHeartbeats is after how many heartbeat intervals of silence the store has removed
 // an entry, and this host has learned of it.
 const lapsedHeartbeats = 4
@@ -81,6 +99,7 @@
 func newControl(bounds Bounds) controlState {
 	return controlState{
 		entries: make(map[string]entry), retained: make(map[string]retainedEndpoint),
+		starts: make(map[string]start), doubted: make(map[string]doubtedEntry),
 		leaving:     departure.New(lapsedHeartbeats * bounds.HeartbeatInterval),
 		misdirected: make(map[identity.Incarnation]time.Time),
 		dialled:     make(map[identity.Incarnation]time.Time),
@@ -158,9 +177,12 @@
 	g.control.asOf = copied.AsOf
 	previous := g.control.entries
 	g.control.entries = make(map[string]entry, len(copied.Items))
+	listed := make(map[string]bool, len(copied.Items))
 	for _, item := range copied.Items {
+		listed[item.Key] = true
 		g.readEntry(now, item, previous[item.Key])
 	}
+	maps.DeleteFunc(g.control.doubted, func(key string, _ doubtedEntry) bool { return !listed[key] })
 	g.handleRemovals(now, previous)
 	g.settleDepartures(now)
 	g.publish(now)
@@ -180,36 +202,95 @@
 		}
 		return
 	}
-	restored := previous.revision.Era() < item.Revision.Era() && e.Started.Before(previous.endpoint.Started)
-	if restored || e.Started.Before(g.control.retained[item.Key].endpoint.Started) {
-		// The entry of an earlier start, which the restored store had kept. The later
-		// incarnation registers again or is gone.
+	latest := g.control.starts[item.Key].endpoint
+	if g.doubts(now, item, latest, e) {
+		// In a restored store the later start must register again.
+		if previous.revision.Era() == item.Revision.Era() {
+			g.control.entries[item.Key] = previous
+		}
 		return
 	}
 	e.FirstSeen = now
-	if previous.endpoint.Incarnation == e.Incarnation {
-		e.FirstSeen = previous.endpoint.FirstSeen
-	} else {
+	late := latest.Incarnation == e.Incarnation && e.Sequence > 0 && e.Sequence < latest.Sequence
+	switch {
+	case late:
+		// The endpoint has reported something else since.
+		e = latest
+	case latest.Incarnation == e.Incarnation:
+		e.FirstSeen = latest.FirstSeen
+	default:
 		g.log.Info("endpoint_found", "endpoint", e.Host, "service", e.Service, "zone", e.Zone, "address", e.Address, "software", e.Software, "reclaimable", e.Reclaimable)
 	}
-	if e.Leaving {
+	if e.Leaving && !late {
 		g.markLeaving(now, e.Incarnation, "store", departure.Evidence{Revision: item.Revision, Sequence: e.Sequence, Announced: true})
 	}
 	since := previous.since
 	if since.IsZero() || previous.endpoint.Incarnation != e.Incarnation {
 		since = now
 	}
-	if ended := previous.endpoint; ended.Incarnation != "" && ended.Incarnation != e.Incarnation {
-		g.markLeaving(now, ended.Incarnation, "later start", departure.Evidence{Revision: item.Revision, Sequence: ended.Sequence})
-		g.recordStart(now, ended, e)
+	if latest.Incarnation != "" && latest.Incarnation != e.Incarnation {
+		g.markLeaving(now, latest.Incarnation, "later start", departure.Evidence{Revision: item.Revision, Sequence: latest.Sequence})
+		g.recordStart(now, latest, e)
 	}
-	if previous.endpoint.Incarnation == e.Incarnation && e.Sequence > previous.endpoint.Sequence {
+	if latest.Incarnation == e.Incarnation && e.Sequence > latest.Sequence {
 		g.recordStay(now, e)
 	}
+	g.control.starts[item.Key] = start{endpoint: e, listed: now}
 	g.control.entries[item.Key] = entry{endpoint: e, revision: item.Revision, since: since}
 	delete(g.control.retained, item.Key)
 }
 
+// doubts reports whether an entry may be of an earlier start than the latest one known for
+// its key: a report of an endpoint may take effect after it has started again. The starts
+// are ordered by what they report, not by when they are read. An endpoint whose clock was
+// set back between two starts shows that it serves by renewing its entry.
+func (g *Gateway) doubts(now time.Time, item mirror.Item, latest, e fleet.Endpoint) bool {
+	same := latest.Incarnation == "" || latest.Incarnation == e.Incarnation
+	if same || !e.Started.Before(latest.Started) && !g.control.leaving.Contains(e.Incarnation) {
+		delete(g.control.doubted, item.Key)
+		return false
+	}
+	d := g.control.doubted[item.Key]
+	if d.incarnation != e.Incarnation {
+		d = doubtedEntry{incarnation: e.Incarnation, since: now}
+		g.control.doubted[item.Key] = d
+		g.log.Info("endpoint_doubted", "endpoint", e.Incarnation, "latest", latest.Incarnation, "revision", item.Revision, "sequence", e.Sequence)
+	}
+	if !g.renewed(now, d) {
+		return true
+	}
+	delete(g.control.doubted, item.Key)
+	g.log.Info("endpoint_believed", "endpoint", e.Incarnation, "latest", latest.Incarnation, "listed", now.Sub(d.since))
+	return false
+}
+
+// renewed reports whether an entry is listed for longer than one that nobody renews.
+func (g *Gateway) renewed(now time.Time, d doubtedEntry) bool {
+	since := d.since
+	if since.Before(g.control.lastFailure) {
+		since = g.control.lastFailure
+	}
+	return now.Sub(since) > lapsedHeartbeats*g.bounds.HeartbeatInterval
+}
+
+// sweepStarts drops the starts of keys that have not been listed for as long as departures
+// are kept.
+func (g *Gateway) sweepStarts(now time.Time) {
+	for key, s := range g.control.starts {
+		_, entered := g.control.entries[key]
+		_, retained := g.control.retained[key]
+		_, doubted := g.control.doubted[key]
+		if entered || retained || doubted {
+			s.listed = now
+			g.control.starts[key] = s
+			continue
+		}
+		if now.Sub(s.listed) > departure.Retention {
+			delete(g.control.starts, key)
+		}
+	}
+}
+
 // recordStart tells the keeper of advice when an endpoint has started again. It doesn't if
 // the start lies before this host found the earlier incarnation: the endpoint's clock must
 // be wrong then.
@@ -387,6 +468,13 @@
 	}
 	if now.Sub(g.control.lastSweep) > sweepInterval {
 		g.control.lastSweep = now
+		g.sweepStarts(now)
+		for _, d := range g.control.doubted {
+			if g.renewed(now, d) {
+				g.reloadEndpoints(now)
+				break
+			}
+		}
 		if g.sweep(now) {
 			g.publish(now)
 		}
