process/gateway: endpoints are confirmed before streams go on there

Cause: within an answer a stream was resumed by the versions that the host last knew, whatever the age of that. Starts of one id have the same target, so that the endpoint does not refuse.

Change: if the host stood still for over a second since its copy of the endpoints was read, the store does not answer or the endpoint was down since, a stream goes on only over a connection of before or once the endpoint's entry was read; without the store only where the service has one version, and not at an endpoint that was down. Others are left out, which is no attempt. Endpoints that break off connections while the store does not answer are dialled.

--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -85,9 +85,10 @@
 	// Owner returns which request an answer with these headers names: a late second
 	// answer to an earlier request may precede it. If nil, answers name none.
 	Owner func(http.Header) Owner
-	// Permitted, if set, is called once there is a connection. If it returns false, nothing
+	// Permitted, if set, is called once there is a connection, with the time at which it
+	// was opened. If it returns false, nothing
 	// is written and the error's cause is ErrNotPermitted.
-	Permitted func() bool
+	Permitted func(opened time.Time) bool
 }
 
 // ErrNotPermitted is the cause of the error for a request that Permitted stopped.
@@ -171,6 +172,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// opened is when the connection was opened.
+	opened time.Time
 	// readable is how many bytes may still be read of the current part of an answer.
 	readable int64
 	// lastUsed is when the last answer ended; maxIdle is how long the connection
@@ -194,7 +197,7 @@
 	if err != nil {
 		return nil, verdict.Wrap(verdict.NotRun, verdict.EndpointUnreachable, err)
 	}
-	if r.Permitted != nil && !r.Permitted() {
+	if r.Permitted != nil && !r.Permitted(c.opened) {
 		c.Close()
 		return nil, verdict.Wrap(verdict.NotRun, verdict.EndpointLeaving, ErrNotPermitted)
 	}
@@ -270,7 +273,7 @@
 	if err != nil {
 		return nil, true, err
 	}
-	c := &conn{Conn: opened, maxIdle: maxIdleTime}
+	c := &conn{Conn: opened, opened: time.Now(), maxIdle: maxIdleTime}
 	c.reader = bufio.NewReaderSize(c, bufferBytes)
 	return c, true, nil
 }
--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -60,6 +60,8 @@
 	// Software, if set, is the software version that began the call's stream. What two
 	// versions write does not fit together, so only endpoints of this one are chosen.
 	Software *identity.Software
+	// Unconfirmed lists endpoints that may run another software version by now.
+	Unconfirmed []identity.Incarnation
 }
 
 // Choice is the endpoint chosen for a call.
@@ -259,7 +261,7 @@
 	if c.Software == nil {
 		return !e.Held
 	}
-	return e.Software == *c.Software
+	return e.Software == *c.Software && !slices.Contains(c.Unconfirmed, e.Incarnation)
 }
 
 // Serves reports whether a service has an endpoint that runs the given software and is not
--- a/internal/process/forward/attempt.go
+++ b/internal/process/forward/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/dandelionlift/dandelionlift/internal/process/balance"
 	"github.com/dandelionlift/dandelionlift/internal/request/event"
 	"github.com/dandelionlift/dandelionlift/internal/request/verdict"
+	"github.com/dandelionlift/dandelionlift/internal/version/fleet"
 )
 
 const (
@@ -69,7 +70,9 @@
 		NonIdempotent: !k.Route.Retryable(),
 		NewConnection: k.ID == "" || slices.Contains(k.sentTo, choice.Endpoint.Address),
 		Owner:         func(h http.Header) endpoint.Owner { return k.f.Protocol.Owner(k.Call, h) },
-		Permitted:     func() bool { return k.f.balancer.Permits(time.Now(), choice.Endpoint) },
+		Permitted: func(opened time.Time) bool {
+			return k.f.balancer.Permits(time.Now(), choice.Endpoint) && k.confirm(ctx, choice.Endpoint, opened)
+		},
 	}
 	k.sentTo = append(k.sentTo, choice.Endpoint.Address)
 	sentAt := time.Now()
@@ -80,6 +83,9 @@
 			k.runs++
 		}
 		if failure.Reason == verdict.EndpointUnreachable {
+			if ctx.Err() == nil {
+				k.f.OnUnreachable(choice.Endpoint.Incarnation)
+			}
 			return balance.Unreachable, failure
 		}
 		return balance.Failed, failure
@@ -116,6 +122,16 @@
 	return k.forwardAnswer(ctx, answer, watch)
 }
 
+// confirm reports whether a stream may go on at an endpoint of its software version. If
+// not, the endpoint is not chosen again.
+func (k *forwarding) confirm(ctx context.Context, e fleet.Endpoint, opened time.Time) bool {
+	if k.call.Software == nil || k.lastEvent < 0 || k.f.Confirm(ctx, k.Call, e, opened) {
+		return true
+	}
+	k.call.Unconfirmed = append(k.call.Unconfirmed, e.Incarnation)
+	return false
+}
+
 // recordAdvice records what an endpoint says of itself, unless another one has answered.
 func (k *forwarding) recordAdvice(choice balance.Choice, answer *endpoint.Answer, sentBefore time.Duration) {
 	class := k.f.Protocol.Classify(answer.Status, answer.Header)
--- a/internal/process/forward/forward.go
+++ b/internal/process/forward/forward.go
@@ -88,6 +88,13 @@
 	// Origin returns the service and software version at which the stream began that a call
 	// resumes, or a refusal if it can't go on.
 	Origin func(ctx context.Context, c *Call) (*catalogue.Service, identity.Software, *verdict.Error)
+	// Confirm reports whether an endpoint is still the start that is known, with its software
+	// version, over a connection that was opened at some time. A stream goes on nowhere else.
+	Confirm func(ctx context.Context, c *Call, e fleet.Endpoint, opened time.Time) bool
+	// OnUnreachable is called with an endpoint to which no connection could be opened.
+	OnUnreachable func(identity.Incarnation)
+	// OnDisconnected is called with an endpoint that broke off the connection of a call.
+	OnDisconnected func(fleet.Endpoint)
 	// OnStreamBegun is called with the endpoint that began a stream before its first event
 	// is passed on. A resumed stream began earlier.
 	OnStreamBegun func(c *Call, e fleet.Endpoint)
@@ -110,6 +117,8 @@
 		Origin: func(_ context.Context, c *Call) (*catalogue.Service, identity.Software, *verdict.Error) {
 			return c.Service, "", nil
 		},
+		Confirm:       func(context.Context, *Call, fleet.Endpoint, time.Time) bool { return true },
+		OnUnreachable: func(identity.Incarnation) {}, OnDisconnected: func(fleet.Endpoint) {},
 		OnStreamBegun: func(*Call, fleet.Endpoint) {},
 		OnExecuted:    func(identity.Organisation) {}, OnOffered: func(*Call, unit.Tokens) {}, OnMisdirected: func(identity.Incarnation) {}, OnLeaving: func(identity.Incarnation) {}, Log: slog.Default(),
 		Quarantine: quarantine.New(), Advice: advice.New(limit.New()),
@@ -246,6 +255,7 @@
 		k.failures = append(k.failures, string(choice.Endpoint.Incarnation)+" "+string(choice.Endpoint.Software)+" "+string(failure.Reason)+" "+failure.Verdict.String())
 		if endpoint.Disconnected(failure) {
 			k.f.Quarantine.RecordCrash(k.quarantineAttempt(choice, time.Since(sentAt)))
+			k.f.OnDisconnected(choice.Endpoint)
 			k.f.Log.Warn("connection_lost", "request", k.ID, "route", k.Route.Name, "endpoint", choice.Endpoint.Incarnation,
 				"fingerprint", k.fingerprint, "parts", partIDs(k.Parts), "last_event", k.lastEvent, "sent_before", time.Since(sentAt))
 		}
@@ -300,6 +310,8 @@
 		return refused(verdict.EndpointLimit, longRetryAfter)
 	case quiet > 0:
 		return refused(verdict.EndpointQuiet, max(shortRetryAfter, quiet))
+	case len(k.call.Unconfirmed) > 0:
+		return refused(verdict.StreamOriginUnknown, longRetryAfter)
 	case k.call.Software != nil && !k.f.balancer.Serves(k.Service.ID, *k.call.Software):
 		return refused(verdict.StreamVersionGone, 0)
 	default:
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -165,6 +165,7 @@
 func (g *Gateway) reloadEndpoints(now time.Time) {
 	if _, failing := g.mirror.FailingSince(g.platform.EndpointPrefix); failing {
 		g.control.lastFailure = now
+		g.confirmations.failed.Store(now.UnixNano())
 	}
 	copied, ok := g.mirror.Copy(g.platform.EndpointPrefix)
 	if !ok {
@@ -433,6 +434,7 @@
 // tick applies what changes with time: neighbours' reports, shares of limits and
 // expiries.
 func (g *Gateway) tick(now time.Time) {
+	g.confirmations.observe(now)
 	g.clock.RecordWallClock(g.self.Host, time.Now())
 	live := g.neighbours.LiveReports()
 	g.liveReports.Store(&live)
@@ -450,6 +452,7 @@
 	g.updateIdleLimits()
 	if _, failing := g.mirror.FailingSince(g.platform.EndpointPrefix); failing {
 		g.control.lastFailure = now
+		g.confirmations.failed.Store(now.UnixNano())
 	}
 	gone := false
 	for key, kept := range g.control.retained {
@@ -514,6 +517,7 @@
 		incarnations[e.Incarnation] = true
 	}
 	g.advice.Retain(now, incarnations)
+	g.confirmations.retain(incarnations)
 	leaving, _ := g.advice.Counts(now)
 	changed := g.settleDepartures(now) || leaving != g.control.saidLeaving
 	g.control.saidLeaving = leaving
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -114,6 +114,7 @@
 	quarantine    *quarantine.Quarantine
 	advice        *advice.Keeper
 	origins       originState
+	confirmations *confirmations
 	usage         *usage.Counter
 	recorder      *usage.Recorder
 	neighbours    *neighbour.Neighbours
@@ -176,6 +177,7 @@
 		_, calls := g.quarantine.Counts()
 		return float64(calls)
 	})
+	g.confirmations = newConfirmations()
 	g.origins.streams = origin.NewStreams()
 	g.origins.versions = origin.NewVersions(g.clock.Now, func() time.Duration { return time.Since(g.started) })
 	g.usage = usage.New(g.incarnation, self.Zone, bounds.UsageWindow)
@@ -216,7 +218,8 @@
 	g.forwarder = forward.New(g.pool, g.balancer, g.quota, g.budget, m)
 	g.forwarder.Protocol, g.forwarder.Log, g.forwarder.Quarantine = platform.Protocol, log, g.quarantine
 	g.forwarder.Advice, g.forwarder.OnLeaving = g.advice, g.onLeaving
-	g.forwarder.Origin = g.findOrigin
+	g.forwarder.Origin, g.forwarder.Confirm = g.findOrigin, g.confirm
+	g.forwarder.OnUnreachable, g.forwarder.OnDisconnected = g.confirmations.recordDown, g.checkDown
 	g.forwarder.OnStreamBegun = func(c *forward.Call, e fleet.Endpoint) {
 		g.origins.streams.Record(c.ID, origin.Origin{Service: e.Service, Software: e.Software})
 	}
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -77,6 +77,7 @@
 			if err != nil {
 				g.log.Info("endpoint_down", "endpoint", id, "error", err)
 				g.quarantine.RecordDown(id)
+				g.confirmations.recordDown(id)
 				return nil
 			}
 			return conn.Close()
--- a/internal/process/mirror/mirror.go
+++ b/internal/process/mirror/mirror.go
@@ -107,6 +107,8 @@
 	loaded bool
 	// cancelWatch ends the current watch, so that the next one starts.
 	cancelWatch context.CancelFunc
+	// readAt is when the latest call began that the store has answered.
+	readAt time.Time
 	// failingSince is when calls began to fail, or zero if the last one succeeded.
 	failingSince time.Time
 }
@@ -146,7 +148,7 @@
 			continue
 		}
 		if err == nil {
-			m.recordSuccess(prefix)
+			m.recordSuccess(prefix, begun)
 			delay = minRetryDelay
 			pause.For(ctx, m.MinInterval(prefix)-time.Since(begun))
 			continue
@@ -317,9 +319,10 @@
 	}
 }
 
-func (m *Mirror) recordSuccess(prefix string) {
+func (m *Mirror) recordSuccess(prefix string, begun time.Time) {
 	m.mu.Lock()
 	s := m.states[prefix]
+	s.readAt = begun
 	regained := !s.failingSince.IsZero()
 	s.failingSince = time.Time{}
 	m.mu.Unlock()
@@ -344,6 +347,14 @@
 	return s.failingSince, !s.failingSince.IsZero()
 }
 
+// ReadAt returns when the latest call for a prefix began that the store has answered, or
+// zero: the copy is at least as new.
+func (m *Mirror) ReadAt(prefix string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.states[prefix].readAt
+}
+
 // AsOf returns the revision up to which the copy of a prefix is complete, or zero
 // before the first copy.
 func (m *Mirror) AsOf(prefix string) keyvalue.Revision {
