process/gateway: starts and departures in files of their own

The functions are moved as they were, but for one: a host looked for each endpoint that a report repeats as leaving among all endpoints before it found that it knows the departure already. With 12,000 endpoints that is thousands of comparisons for each of them in each report; what is known is checked first now.

--- a/internal/process/departure/departure.go
+++ b/internal/process/departure/departure.go
@@ -88,15 +88,13 @@
 	if s.refutes(now, l, e) {
 		return false
 	}
-	if d, found := s.departures[id]; found && !e.adds(d.evidence) {
-		return false
-	}
-	return s.Add(now, id, e)
+	return !s.Covers(id, e) && s.Add(now, id, e)
 }
 
-// adds reports whether evidence contains more than what is known.
-func (e Evidence) adds(known Evidence) bool {
-	return e.Revision > known.Revision || e.Sequence > known.Sequence || e.Announced && !known.Announced
+// Covers reports whether what is known of a departure contains the evidence.
+func (s *Set) Covers(id identity.Incarnation, e Evidence) bool {
+	d, found := s.departures[id]
+	return found && e.Revision <= d.evidence.Revision && e.Sequence <= d.evidence.Sequence && (d.evidence.Announced || !e.Announced)
 }
 
 // Settle ends the departure of an endpoint if its entry refutes the evidence, and reports
--- a/internal/process/gateway/control.go
+++ b/internal/process/gateway/control.go
@@ -79,23 +79,6 @@
 	until    time.Time
 }
 
-// start is what a start of an endpoint has reported last.
-type start struct {
-	endpoint fleet.Endpoint
-	// listed is when the store last listed it.
-	listed time.Time
-}
-
-// doubtedEntry is an entry that the store lists since some time.
-type doubtedEntry struct {
-	incarnation identity.Incarnation
-	since       time.Time
-}
-
-// lapsedHeartbeats is after how many heartbeat intervals of silence the store has removed
-// an entry, and this host has learned of it.
-const lapsedHeartbeats = 4
-
 func newControl(bounds Bounds) controlState {
 	return controlState{
 		entries: make(map[string]entry), retained: make(map[string]retainedEndpoint),
@@ -241,68 +224,6 @@
 	delete(g.control.retained, item.Key)
 }
 
-// doubts reports whether an entry may be of an earlier start than the latest one known for
-// its key: a report of an endpoint may take effect after it has started again. The starts
-// are ordered by what they report, not by when they are read. An endpoint whose clock was
-// set back between two starts shows that it serves by renewing its entry.
-func (g *Gateway) doubts(now time.Time, item mirror.Item, latest, e fleet.Endpoint) bool {
-	same := latest.Incarnation == "" || latest.Incarnation == e.Incarnation
-	if same || !e.Started.Before(latest.Started) && !g.control.leaving.Contains(e.Incarnation) {
-		delete(g.control.doubted, item.Key)
-		return false
-	}
-	d := g.control.doubted[item.Key]
-	if d.incarnation != e.Incarnation {
-		d = doubtedEntry{incarnation: e.Incarnation, since: now}
-		g.control.doubted[item.Key] = d
-		g.log.Info("endpoint_doubted", "endpoint", e.Incarnation, "latest", latest.Incarnation, "revision", item.Revision, "sequence", e.Sequence)
-	}
-	if !g.renewed(now, d) {
-		return true
-	}
-	delete(g.control.doubted, item.Key)
-	g.log.Info("endpoint_believed", "endpoint", e.Incarnation, "latest", latest.Incarnation, "listed", now.Sub(d.since))
-	return false
-}
-
-// renewed reports whether an entry is listed for longer than one that nobody renews.
-func (g *Gateway) renewed(now time.Time, d doubtedEntry) bool {
-	since := d.since
-	if since.Before(g.control.lastFailure) {
-		since = g.control.lastFailure
-	}
-	return now.Sub(since) > lapsedHeartbeats*g.bounds.HeartbeatInterval
-}
-
-// sweepStarts drops the starts of keys that have not been listed for as long as departures
-// are kept.
-func (g *Gateway) sweepStarts(now time.Time) {
-	for key, s := range g.control.starts {
-		_, entered := g.control.entries[key]
-		_, retained := g.control.retained[key]
-		_, doubted := g.control.doubted[key]
-		if entered || retained || doubted {
-			s.listed = now
-			g.control.starts[key] = s
-			continue
-		}
-		if now.Sub(s.listed) > departure.Retention {
-			delete(g.control.starts, key)
-		}
-	}
-}
-
-// recordStart tells the keeper of advice when an endpoint has started again. It doesn't if
-// the start lies before this host found the earlier incarnation: the endpoint's clock must
-// be wrong then.
-func (g *Gateway) recordStart(now time.Time, ended, next fleet.Endpoint) {
-	age := g.clock.Now().Sub(next.Started)
-	if age > now.Sub(ended.FirstSeen) || !next.Started.After(ended.Started) {
-		return
-	}
-	g.advice.Succeed(now, ended.Incarnation, next.Incarnation, age)
-}
-
 // recordStay tells the keeper of advice that an endpoint which had said that it leaves has
 // reported anew that it does not. Around a store outage the report may be of any age.
 func (g *Gateway) recordStay(now time.Time, e fleet.Endpoint) {
@@ -314,87 +235,6 @@
 	}
 }
 
-// handleRemovals marks the endpoints of removed entries as leaving. Around a store
-// outage an entry may have expired although its endpoint is alive, so the endpoint is
-// retained until it has had time to register again since the store last failed.
-func (g *Gateway) handleRemovals(now time.Time, previous map[string]entry) {
-	var removed []string
-	for key := range previous {
-		if _, ok := g.control.entries[key]; !ok {
-			removed = append(removed, key)
-		}
-	}
-	outage := now.Sub(g.control.lastFailure) < outageGrace || len(removed) >= massRemovalSize
-	for _, key := range removed {
-		e := previous[key].endpoint
-		leaving := g.control.leaving.Contains(e.Incarnation)
-		g.log.Info("endpoint_removed", "endpoint", e.Host, "service", e.Service, "leaving", leaving, "store_trouble", outage)
-		if outage && !leaving && !e.Leaving {
-			g.control.retained[key] = retainedEndpoint{endpoint: e, until: now.Add(g.bounds.ReappearTimeout)}
-			continue
-		}
-		g.control.leaving.Add(now, e.Incarnation, departure.Evidence{Revision: g.control.asOf, Sequence: e.Sequence})
-	}
-}
-
-// markLeaving marks an endpoint as leaving.
-func (g *Gateway) markLeaving(now time.Time, id identity.Incarnation, source string, evidence departure.Evidence) {
-	if g.control.leaving.Add(now, id, evidence) {
-		g.log.Info("endpoint_leaving", "endpoint", id, "source", source, "revision", evidence.Revision, "sequence", evidence.Sequence)
-	}
-}
-
-// mergeLeaving marks the endpoints that a neighbour knows to be leaving, unless this host's
-// copy of the store refutes its evidence. Endpoints not listed in the store are ignored:
-// nothing needs to be done about them, and hosts would keep reporting them to each other.
-func (g *Gateway) mergeLeaving(r neighbour.Report) {
-	now := time.Now()
-	changed := false
-	for id, evidence := range r.Departures {
-		if !g.inStore(id) || !g.control.leaving.Learn(now, id, evidence, g.listing(id)) {
-			continue
-		}
-		g.log.Info("endpoint_leaving", "endpoint", id, "source", r.Host, "report", r.Sequence, "revision", evidence.Revision, "sequence", evidence.Sequence)
-		changed = true
-	}
-	if changed {
-		g.publish(now)
-	}
-}
-
-// listing returns an endpoint's entry in the copy of the store, or the zero Listing.
-func (g *Gateway) listing(id identity.Incarnation) departure.Listing {
-	for _, e := range g.control.entries {
-		if e.endpoint.Incarnation == id {
-			return g.listed(e)
-		}
-	}
-	return departure.Listing{}
-}
-
-func (g *Gateway) listed(e entry) departure.Listing {
-	since := e.since
-	if since.Before(g.control.lastFailure) {
-		since = g.control.lastFailure
-	}
-	return departure.Listing{
-		Revision: e.revision, AsOf: g.control.asOf, Sequence: e.endpoint.Sequence, Leaving: e.endpoint.Leaving, Since: since,
-	}
-}
-
-// settleDepartures ends the departures that the endpoints' entries refute, and reports
-// whether there were any.
-func (g *Gateway) settleDepartures(now time.Time) bool {
-	ended := false
-	for _, e := range g.control.entries {
-		if id := e.endpoint.Incarnation; g.control.leaving.Settle(now, id, g.listed(e)) {
-			g.log.Info("endpoint_returned", "endpoint", id, "revision", e.revision, "sequence", e.endpoint.Sequence, "listed", now.Sub(e.since))
-			ended = true
-		}
-	}
-	return ended
-}
-
 // publish updates the endpoints that the request path uses, and those that reports
 // list as leaving.
 func (g *Gateway) publish(now time.Time) {
@@ -532,18 +372,3 @@
 	}
 	return changed
 }
-
-// inStore reports whether the store lists an endpoint, or may do so again.
-func (g *Gateway) inStore(id identity.Incarnation) bool {
-	for _, e := range g.control.entries {
-		if e.endpoint.Incarnation == id {
-			return true
-		}
-	}
-	for _, kept := range g.control.retained {
-		if kept.endpoint.Incarnation == id {
-			return true
-		}
-	}
-	return false
-}
