process/departure: an entry of before the evidence refutes nothing

Cause: a copy of the store as new as another host's evidence of a departure, with the entry from before it, was taken to refute the evidence.

Change: only a later write of the entry ends what others tell, or its removal.

Result: the two rows of TestEvidenceIsRefuted for entries of before fail on the state before.

--- a/internal/process/departure/departure.go
+++ b/internal/process/departure/departure.go
@@ -41,10 +41,9 @@
 
 // Listing is an endpoint's entry in this host's copy of the store.
 type Listing struct {
-	// Revision is that of the entry, AsOf that of the copy; both are zero if the copy
-	// does not contain the endpoint.
-	Revision, AsOf keyvalue.Revision
-	Sequence       uint64
+	// Revision is that of the entry; zero if the copy does not contain the endpoint.
+	Revision keyvalue.Revision
+	Sequence uint64
 	// Leaving is set if the entry says so.
 	Leaving bool
 	// Since is when the host first read an entry of the endpoint that has not been
@@ -113,9 +112,10 @@
 	switch {
 	case l.Leaving || l.Revision == 0:
 		return false
-	case l.Revision < e.Revision:
-		// A copy as new as the evidence still has the entry from before.
-		return l.AsOf >= e.Revision
+	case l.Revision <= e.Revision:
+		// The entry is from before. That the copy is as new as the evidence proves nothing:
+		// it may have missed a removal.
+		return false
 	case e.Sequence > 0 && l.Sequence > e.Sequence:
 		return true
 	default:
--- a/internal/process/gateway/departures.go
+++ b/internal/process/gateway/departures.go
@@ -78,7 +78,7 @@
 		since = g.control.lastFailure
 	}
 	return departure.Listing{
-		Revision: e.revision, AsOf: g.control.asOf, Sequence: e.endpoint.Sequence, Leaving: e.endpoint.Leaving, Since: since,
+		Revision: e.revision, Sequence: e.endpoint.Sequence, Leaving: e.endpoint.Leaving, Since: since,
 	}
 }
 
