--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -86,8 +86,8 @@
 	// answer to an earlier request may precede it. If nil, answers name none.
 	Owner func(http.Header) Owner
 	// Permitted, if set, is called once there is a connection, with the time at which it
-	// was opened. If it returns false, nothing
-	// is written and the error's cause is ErrNotPermitted.
+	// was opened. If it returns false, nothing is written and the error's cause is
+	// ErrNotPermitted.
 	Permitted func(opened time.Time) bool
 }
 
